--- /dev/null
+++ b/daemons/teaseltallyctl.cpp
@@ -0,0 +1,429 @@
+// Operators' command line.
+
+#include <teaseltally/json.hpp>
+#include <teaseltally/net/platform_client.hpp>
+#include <teaseltally/snapshot.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+DEFINE_string(platform, "", "IP:PORT of the platform's log service");
+DEFINE_string(instance, "", "IP:PORT of an instance's operator port");
+DEFINE_int64(expect, -1, "version that the new one replaces; -1 takes the one in force");
+DEFINE_bool(json, false, "print JSON");
+DEFINE_bool(undo, false, "drain, declare: take the change back");
+
+namespace {
+
+using namespace teaseltally;
+namespace http = boost::beast::http;
+
+constexpr int exit_ok = 0;
+constexpr int exit_faults = 1;
+constexpr int exit_usage = 2;
+constexpr int exit_lost_race = 3;
+constexpr int exit_unreachable = 4;
+constexpr milliseconds exchange_limit{5000};
+constexpr milliseconds settle_limit{10'000};
+constexpr milliseconds read_wait{300};
+/// Overlay that holds what `drain` and `declare` change; its name sorts behind those of the sites.
+constexpr auto operator_overlay = "zz-operator.ini";
+
+constexpr auto usage = R"(operators' command line of teaseltally
+
+  teaseltallyctl check BASE.ini [OVERLAY.ini ...]
+  teaseltallyctl diff    --platform=IP:PORT BASE.ini [OVERLAY.ini ...]
+  teaseltallyctl publish --platform=IP:PORT [--expect=VERSION] BASE.ini [OVERLAY.ini ...]
+  teaseltallyctl drain   --platform=IP:PORT [--undo] TARGET
+  teaseltallyctl declare --platform=IP:PORT [--undo] target-lost NAME
+  teaseltallyctl declare --platform=IP:PORT [--undo] data-centre-lost NAME
+  teaseltallyctl declare --platform=IP:PORT voters-gone DATA_CENTRE EPOCH
+  teaseltallyctl status  --instance=IP:PORT [--json]
+  teaseltallyctl explain --instance=IP:PORT SERVICE KEY
+
+Example:
+  teaseltallyctl check examples/lagos/base.ini examples/lagos/ikeja.ini
+
+Exit codes: 0 done; 1 faults were found or differ; 2 usage; 3 another operator's version came first;
+4 the platform or instance did not answer.)";
+
+/// Ends the program with a message.
+struct command_failure {
+    int exit_code;
+    std::string message;
+};
+
+std::string read_file(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        throw command_failure{exit_usage, "file \"" + path + "\" cannot be read"};
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+configuration_documents read_documents(std::span<const std::string> files)
+{
+    if (files.empty())
+        throw command_failure{exit_usage, "a base file is missing"};
+    configuration_documents documents;
+    documents.base = read_file(files.front());
+    for (const auto& file : files.subspan(1))
+        documents.overlays[file.substr(file.rfind('/') + 1)] = read_file(file);
+    return documents;
+}
+
+/// Reports every fault of the documents.
+configuration checked(const configuration_documents& documents)
+{
+    auto parsed = parse_configuration(documents);
+    if (auto* good = std::get_if<configuration>(&parsed))
+        return std::move(*good);
+    const auto& faults = std::get<std::vector<error>>(parsed);
+    if (FLAGS_json) {
+        Json::Value out;
+        for (const auto& fault : faults) {
+            Json::Value entry;
+            entry["code"] = static_cast<int>(fault.code);
+            entry["source"] = fault.source;
+            entry["message"] = fault.message;
+            out["faults"].append(entry);
+        }
+        std::cout << json_text(out) << "\n";
+    }
+    for (const auto& fault : faults)
+        std::cerr << to_string(fault) << "\n";
+    throw command_failure{exit_faults, std::to_string(faults.size()) + " faults"};
+}
+
+/// Runs a coroutine to its end.
+template <typename Value>
+Value run(asio::io_context& io, asio::awaitable<Value> work)
+{
+    std::optional<Value> out;
+    std::exception_ptr thrown;
+    asio::co_spawn(io, std::move(work), [&](std::exception_ptr problem, Value value) {
+        thrown = problem;
+        out = std::move(value);
+        io.stop();
+    });
+    io.restart();
+    io.run();
+    if (thrown)
+        std::rethrow_exception(thrown);
+    return std::move(*out);
+}
+
+/// The command's view of the log.
+class log_view {
+public:
+    log_view() : client_(io_.get_executor(), {})
+    {
+        const auto address = parse_endpoint(FLAGS_platform);
+        if (const auto* problem = failure(address))
+            throw command_failure{exit_usage, "--platform: " + problem->message};
+        platform_.emplace(client_, std::get<tcp_endpoint>(address));
+        load();
+    }
+
+    [[nodiscard]] const cluster_state& state() const { return state_; }
+
+    /// Publishes documents and waits until the log has settled whether they were accepted.
+    void publish(const configuration_documents& documents)
+    {
+        checked(documents);
+        const std::uint64_t expected =
+            FLAGS_expect >= 0 ? static_cast<std::uint64_t>(FLAGS_expect) : state_.version();
+        std::random_device device;
+        const session_id session{(static_cast<std::uint64_t>(device()) << 31U | device()) | 1U};
+        const std::string record = encode({session, 1, configuration_publish{expected, documents}});
+        const auto limit = boot_clock::now() + settle_limit;
+        while (boot_clock::now() < limit) {
+            (void)run(io_, platform_->append("control", record));
+            for (int reads = 0; reads < 4; ++reads) {
+                if (const auto outcome = follow(session)) {
+                    report(*outcome, expected);
+                    return;
+                }
+            }
+        }
+        throw command_failure{exit_unreachable,
+                              "the log did not settle the publication; run the command again: "
+                              "it is accepted at most once for a version"};
+    }
+
+private:
+    void report(const fold_outcome& outcome, std::uint64_t expected) const
+    {
+        if (outcome.code == result_code::ok) {
+            std::cout << "version " << state_.version() << " is accepted at epoch "
+                      << number(state_.configured_at()) << "\n";
+            return;
+        }
+        if (outcome.code == result_code::configuration_lost_race)
+            throw command_failure{exit_lost_race, "version " + std::to_string(expected) +
+                                                      " was expected but version " +
+                                                      std::to_string(state_.version()) + " is in force"};
+        throw command_failure{exit_faults,
+                              "rejected: " + std::string{name_of(outcome.code)} +
+                                  "; slots, cells, services and data centres of existing names and "
+                                  "targets that own slots cannot change"};
+    }
+
+    void load()
+    {
+        snapshot_collector collector;
+        for (epoch from{1};;) {
+            const auto page = read("snapshots", from, milliseconds{0});
+            if (page.entries.empty())
+                break;
+            for (const auto& entry : page.entries)
+                collector.add(entry.text);
+            from = epoch{number(page.entries.back().offset) + 1};
+        }
+        if (auto state = collector.newest())
+            state_ = std::move(*state);
+        while (true) {
+            const auto before = state_.position();
+            (void)follow(no_session);
+            if (state_.position() == before)
+                return;
+        }
+    }
+
+    log_page read(const std::string& stream, epoch from, milliseconds wait)
+    {
+        auto answer = run(io_, platform_->read(stream, from, wait));
+        if (const auto* problem = failure(answer))
+            throw command_failure{exit_unreachable, to_string(*problem)};
+        return std::get<log_page>(std::move(answer));
+    }
+
+    /// Folds the next records; returns the outcome of a session's record if it is among them.
+    std::optional<fold_outcome> follow(session_id session)
+    {
+        const epoch from{number(state_.position()) + 1};
+        const auto page = read("control", from, session == no_session ? milliseconds{0} : read_wait);
+        if (page.first > from)
+            throw command_failure{exit_unreachable, "records are gone and no snapshot is whole"};
+        std::optional<fold_outcome> found;
+        for (const auto& entry : page.entries) {
+            const auto record = decode_record(entry.text, "control");
+            if (failure(record) != nullptr) {
+                state_.skip(entry.offset);
+                continue;
+            }
+            const auto outcome = state_.apply(entry.offset, std::get<control_record>(record));
+            if (session != no_session && std::get<control_record>(record).session == session && !found)
+                found = outcome;
+        }
+        return found;
+    }
+
+    asio::io_context io_{1};
+    http_client client_;
+    std::optional<platform_client> platform_;
+    cluster_state state_;
+};
+
+/// Lists sections and keys that differ.
+std::vector<std::string> differences(const configuration_documents& before,
+                                     const configuration_documents& after)
+{
+    std::map<std::string, std::pair<std::string, std::string>> files{{"base.ini", {before.base, after.base}}};
+    for (const auto& [file, text] : before.overlays)
+        files[file].first = text;
+    for (const auto& [file, text] : after.overlays)
+        files[file].second = text;
+    std::vector<std::string> out;
+    const auto lines = [](const std::string& text) {
+        std::map<std::string, std::string> found;
+        std::istringstream input(text);
+        std::string section;
+        for (std::string line; std::getline(input, line);) {
+            if (line.starts_with('['))
+                section = line;
+            else if (const auto equals = line.find('=');
+                     equals != std::string::npos && !line.starts_with(';'))
+                found[section + " " + line.substr(0, line.find_last_not_of(' ', equals - 1) + 1)] =
+                    line.substr(equals + 1);
+        }
+        return found;
+    };
+    for (const auto& [file, texts] : files) {
+        const auto old_lines = lines(texts.first);
+        const auto new_lines = lines(texts.second);
+        for (const auto& [key, value] : old_lines) {
+            const auto found = new_lines.find(key);
+            if (found == new_lines.end())
+                out.push_back("- " + file + " " + key + " =" + value);
+            else if (found->second != value)
+                out.push_back("~ " + file + " " + key + " =" + value + " ->" + found->second);
+        }
+        for (const auto& [key, value] : new_lines) {
+            if (!old_lines.contains(key))
+                out.push_back("+ " + file + " " + key + " =" + value);
+        }
+    }
+    return out;
+}
+
+/// Sets or removes one key of the operators' overlay.
+void change_overlay(configuration_documents& documents, const std::string& section, const std::string& key,
+                    const std::string& value)
+{
+    std::string& text = documents.overlays[operator_overlay];
+    std::map<std::string, std::map<std::string, std::string>> sections;
+    std::istringstream input(text);
+    std::string present;
+    for (std::string line; std::getline(input, line);) {
+        if (line.starts_with('['))
+            present = line.substr(1, line.size() - 2);
+        else if (const auto equals = line.find(" = "); equals != std::string::npos)
+            sections[present][line.substr(0, equals)] = line.substr(equals + 3);
+    }
+    if (FLAGS_undo)
+        sections[section].erase(key);
+    else
+        sections[section][key] = value;
+    text.clear();
+    for (const auto& [name, keys] : sections) {
+        if (keys.empty())
+            continue;
+        text += "[" + name + "]\n";
+        for (const auto& [name_of_key, value_of_key] : keys)
+            text += name_of_key + " = " + value_of_key + "\n";
+    }
+    if (text.empty())
+        documents.overlays.erase(operator_overlay);
+}
+
+void change_and_publish(const std::string& section, const std::string& key, const std::string& value)
+{
+    log_view log;
+    auto documents = log.state().documents();
+    change_overlay(documents, section, key, value);
+    log.publish(documents);
+}
+
+void drain(std::span<const std::string> words)
+{
+    if (words.size() != 1)
+        throw command_failure{exit_usage, "drain takes the name of a target"};
+    change_and_publish("target." + words[0], "draining", "true");
+}
+
+void declare(std::span<const std::string> words)
+{
+    if (words.size() == 2 && words[0] == "target-lost")
+        change_and_publish("target." + words[1], "lost", "true");
+    else if (words.size() == 2 && words[0] == "data-centre-lost")
+        change_and_publish("data_centre." + words[1], "lost", "true");
+    else if (words.size() == 3 && words[0] == "voters-gone")
+        change_and_publish("data_centre." + words[1], "voters_gone_before", words[2]);
+    else
+        throw command_failure{exit_usage, "declare takes target-lost NAME, data-centre-lost NAME or "
+                                          "voters-gone DATA_CENTRE EPOCH"};
+}
+
+std::string ask_instance(const std::string& path)
+{
+    const auto address = parse_endpoint(FLAGS_instance);
+    if (const auto* problem = failure(address))
+        throw command_failure{exit_usage, "--instance: " + problem->message};
+    asio::io_context io(1);
+    http_client client(io.get_executor(), {});
+    auto outcome =
+        run(io, client.exchange(std::get<tcp_endpoint>(address), make_request(http::verb::get, path),
+                                boot_clock::now() + exchange_limit));
+    if (const auto* failed = std::get_if<http_failure>(&outcome))
+        throw command_failure{exit_unreachable, FLAGS_instance + ": " + failed->message};
+    return std::get<http_response>(outcome).body();
+}
+
+/// Prints load and ownership for each service.
+void print_status(const Json::Value& status)
+{
+    std::cout << "instance " << status["instance"].asString() << "  position "
+              << status["position"].asUInt64() << "  configuration "
+              << status["configuration"]["version"].asUInt64() << "  platform "
+              << (status["platform_up"].asBool() ? "up" : "away") << "  sessions "
+              << status["sessions"].size() << "  moves seen " << status["moves_seen"].asUInt64() << "\n";
+    std::map<std::string, std::pair<double, double>> sums;
+    for (const auto& target : status["targets"]) {
+        std::cout << "  " << target["service"].asString() << "  " << target["name"].asString() << "  "
+                  << (target["up"].asBool() ? "up" : "down") << (target["accepts"].asBool() ? "" : " leaving")
+                  << "  slots " << target["slots_owned"].asUInt64() << "  dispatcher "
+                  << target["dispatcher"].asUInt64() << "  busy " << target["busy_ms_per_s"].asUInt()
+                  << " ms/s\n";
+    }
+}
+
+void status()
+{
+    const std::string text = ask_instance("/status");
+    const auto parsed = parse_json(text, FLAGS_instance);
+    if (const auto* problem = failure(parsed))
+        throw command_failure{exit_unreachable, to_string(*problem)};
+    if (FLAGS_json)
+        std::cout << text;
+    else
+        print_status(std::get<Json::Value>(parsed));
+}
+
+int dispatch(const std::string& command, std::span<const std::string> words)
+{
+    if (command == "check") {
+        const auto good = checked(read_documents(words));
+        std::cout << "ok: " << good.services.size() << " services, " << good.data_centres.size()
+                  << " data centres, " << good.targets.size() << " targets\n";
+    }
+    else if (command == "diff") {
+        const auto documents = read_documents(words);
+        checked(documents);
+        const auto changes = differences(log_view().state().documents(), documents);
+        for (const auto& change : changes)
+            std::cout << change << "\n";
+        return changes.empty() ? exit_ok : exit_faults;
+    }
+    else if (command == "publish")
+        log_view().publish(read_documents(words));
+    else if (command == "drain")
+        drain(words);
+    else if (command == "declare")
+        declare(words);
+    else if (command == "status")
+        status();
+    else if (command == "explain" && words.size() == 2)
+        std::cout << ask_instance("/explain?service=" + words[0] + "&key=" + words[1]);
+    else
+        throw command_failure{exit_usage,
+                              "command \"" + command + "\" is unknown or lacks words; see --help"};
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage(usage);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    if (words.empty()) {
+        std::cerr << usage << "\n";
+        return exit_usage;
+    }
+    try {
+        return dispatch(words.front(), std::span{words}.subspan(1));
+    }
+    catch (const command_failure& failed) {
+        std::cerr << "teaseltallyctl: " << failed.message << "\n";
+        return failed.exit_code;
+    }
+}
--- /dev/null
+++ b/daemons/teaseltallyd.cpp
@@ -0,0 +1,92 @@
+#include "logging.hpp"
+
+#include <teaseltally/instance.hpp>
+#include <teaseltally/log_line.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+DEFINE_string(config, "", "file with the section [instance]");
+
+namespace {
+
+using namespace teaseltally;
+
+constexpr int exit_usage = 2;
+/// Time after which a graceful stop ends whatever is left.
+constexpr std::chrono::seconds stop_limit{30};
+
+constexpr milliseconds flush_interval{100};
+
+session_id new_session()
+{
+    std::random_device device;
+    constexpr unsigned bits = 32;
+    return session_id{(static_cast<std::uint64_t>(device()) << bits | device()) >> 1U | 1U};
+}
+
+int run(const instance_settings& settings)
+{
+    start_logging(settings.log_level, settings.log_file);
+    asio::io_context io(1);
+    instance daemon(io.get_executor(), settings, new_session(), write_log_line);
+    const auto [caller, peer, operators] = daemon.ports();
+    write_log_line(log_line("started")
+                       .add("instance", settings.name)
+                       .add("caller_port", caller)
+                       .add("peer_port", peer)
+                       .add("operator_port", operators)
+                       .text());
+    timer_service timers(io.get_executor());
+    const auto flushing = timers.every(flush_interval, [](time_point) { flush_log(); });
+    asio::steady_timer limit(io);
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&](boost::system::error_code failed, int) {
+        if (failed)
+            return;
+        write_log_line(log_line("stopping").text());
+        limit.expires_after(stop_limit);
+        limit.async_wait([&](boost::system::error_code cancelled) {
+            if (!cancelled)
+                io.stop();
+        });
+        daemon.stop([&] { io.stop(); });
+    });
+    io.run();
+    write_log_line(log_line("stopped").text());
+    flush_log();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("entry instance of teaseltally\n  teaseltallyd --config instance.ini");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::ifstream file(FLAGS_config);
+    if (!file) {
+        std::cerr << "teaseltallyd: --config: file \"" << FLAGS_config << "\" cannot be read\n";
+        return exit_usage;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    const auto settings = parse_instance_settings(text.str(), FLAGS_config);
+    if (const auto* faults = std::get_if<std::vector<error>>(&settings)) {
+        for (const auto& fault : *faults)
+            std::cerr << "teaseltallyd: " << to_string(fault) << "\n";
+        return exit_usage;
+    }
+    try {
+        return run(std::get<instance_settings>(settings));
+    }
+    catch (const std::exception& problem) {
+        std::cerr << "teaseltallyd: " << problem.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/include/teaseltally/instance.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <teaseltally/configuration.hpp>
+#include <teaseltally/net/context.hpp>
+#include <teaseltally/net/dispatcher.hpp>
+#include <teaseltally/net/entry.hpp>
+#include <teaseltally/net/peer_channel.hpp>
+#include <teaseltally/net/platform_client.hpp>
+#include <teaseltally/net/timer_service.hpp>
+
+#include <memory>
+#include <vector>
+
+/// @file
+/// A whole entry instance on an executor with one thread.
+
+namespace teaseltally {
+
+/// Runs an entry instance: its ports, its reading of the log and its decisions.
+///
+/// @code
+/// boost::asio::io_context io(1);
+/// teaseltally::instance instance(io.get_executor(), settings, session, print_line);
+/// io.run();
+/// @endcode
+class instance {
+public:
+    /// Binds the ports and starts.
+    /// @param settings the instance's own settings.
+    /// @param session a number that no other run of any instance has.
+    /// @param log receives each log line.
+    instance(asio::any_io_executor executor, instance_settings settings, session_id session, log_sink log);
+    ~instance();
+    instance(const instance&) = delete;
+    instance& operator=(const instance&) = delete;
+    instance(instance&&) = delete;
+    instance& operator=(instance&&) = delete;
+
+    /// Starts a graceful stop.
+    /// @param done called once everything was handed over and nothing is in flight.
+    void stop(std::function<void()> done);
+
+    /// @returns the ports listened on: for callers, peers and operators.
+    [[nodiscard]] std::array<std::uint16_t, 3> ports() const;
+
+private:
+    [[nodiscard]] asio::awaitable<void> follow_log();
+    [[nodiscard]] asio::awaitable<bool> load_snapshot();
+    [[nodiscard]] asio::awaitable<bool> load_from_peers();
+    [[nodiscard]] asio::awaitable<void> write_snapshots();
+    [[nodiscard]] asio::awaitable<void> append(std::string record);
+    [[nodiscard]] asio::awaitable<http_response> serve_peer(http_request request);
+    [[nodiscard]] asio::awaitable<http_response> serve_operator(http_request request);
+    [[nodiscard]] std::string status() const;
+    [[nodiscard]] std::string explain(std::string_view query) const;
+    void tick(time_point now);
+    void act();
+    void receive(const peer_message& message);
+    void refresh_gauges();
+
+    asio::any_io_executor executor_;
+    instance_settings settings_;
+    log_sink log_;
+    metrics measured_;
+    quarantine_table quarantine_;
+    http_client client_;
+    http_client target_client_;
+    http_client platform_http_;
+    platform_client platform_;
+    std::unique_ptr<http_server> peer_server_;
+    std::unique_ptr<peer_channel> channel_;
+    coordinator decisions_;
+    instance_context context_;
+    dispatcher dispatcher_;
+    entry_router entry_;
+    timer_service timers_;
+    std::vector<timer_service::subscription> subscriptions_;
+    std::unique_ptr<http_server> caller_server_;
+    std::unique_ptr<http_server> operator_server_;
+    std::function<void()> stopped_;
+    bool stopping_ = false;
+    bool platform_up_ = false;
+    time_point platform_read_at_{};
+    time_point configured_at_{};
+    std::uint64_t seen_version_ = 0;
+    epoch snapshot_position_{};
+    time_point snapshot_at_{};
+};
+
+} // namespace teaseltally
--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,163 @@
+# Starts and stops a deployment of plain processes on loopback. Sourced by the other scripts.
+# shellcheck shell=bash
+
+root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+bin=${TEASELTALLY_BUILD:-$root/build}
+
+# wait_for SECONDS COMMAND...: runs the command until it succeeds.
+wait_for() {
+    local tries=$(($1 * 20))
+    shift
+    while ((tries-- > 0)); do
+        "$@" >/dev/null 2>&1 && return 0
+        sleep 0.05
+    done
+    echo "gave up waiting for: $*" >&2
+    return 1
+}
+
+# http METHOD IP:PORT PATH [BODY]: prints the body of the answer.
+http() {
+    local host=${2%:*} port=${2##*:} body=${4:-} line
+    exec 9<>"/dev/tcp/$host/$port" || return 1
+    printf '%s %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s' \
+        "$1" "$3" "${#body}" "$body" >&9
+    while IFS= read -r line <&9; do [[ $line == $'\r' ]] && break; done
+    cat <&9
+    exec 9>&-
+}
+
+# start NAME COMMAND...: starts a process and notes its id under $work/pids/NAME.
+start() {
+    local name=$1
+    shift
+    "$@" >"$work/out/$name" 2>&1 &
+    echo $! >"$work/pids/$name"
+    disown
+}
+
+pid_of() { cat "$work/pids/$1"; }
+
+# stop_all: ends everything that start started.
+stop_all() {
+    local file pid
+    for file in "$work"/pids/*; do
+        [[ -e $file ]] || continue
+        pid=$(cat "$file")
+        kill -CONT "$pid" 2>/dev/null
+        kill -KILL "$pid" 2>/dev/null
+    done
+    rm -f "$work"/pids/*
+}
+
+target_names() { sed -n 's/^\[target\.\(.*\)\]$/\1/p' "$1"/*.ini; }
+
+# setting FILE TARGET KEY: prints a key of a target's section.
+setting() {
+    awk -F' = ' -v section="[target.$2]" -v key="$3" \
+        '$0 == section {inside = 1; next} /^\[/ {inside = 0} inside && $1 == key {print $2}' "$1"
+}
+
+start_target() {
+    local name=$1 file=$2 port=${3:-0}
+    shift 3
+    rm -f "$work/ports/$name"
+    start "$name" "$bin/standins/standin_target" --name="$name" --port="$port" --port_file="$work/ports/$name" \
+        --history="$work/history/$name" --slots="$(setting "$file" "$name" slots)" \
+        --checks="$(setting "$file" "$name" checks_grants)" --service_us="${service_us:-2000}" "$@"
+}
+
+# start_instance NAME DATA_CENTRE: starts an entry instance on ports from the system.
+start_instance() {
+    local name=$1
+    cat >"$work/$name.ini" <<INI
+[instance]
+name = $name
+data_centre = $2
+platform = $platform
+peers = $(peer_list "$2")
+log_file = $work/logs/$name
+log_level = ${log_level:-info}
+INI
+    rm -f "$work/logs/$name"
+    start "$name" "$bin/daemons/teaseltallyd" --config="$work/$name.ini"
+    wait_for 20 grep -q event=started "$work/logs/$name"
+    local line
+    line=$(grep event=started "$work/logs/$name" | head -n 1)
+    for kind in caller peer operator; do
+        sed "s/.*${kind}_port=\([0-9]*\).*/127.0.0.1:\1/" <<<"$line" >"$work/ports/$name.$kind"
+    done
+    echo "$2" >"$work/ports/$name.dc"
+}
+
+peer_list() {
+    local dc_file peers=()
+    for dc_file in "$work"/ports/*.dc; do
+        [[ -e $dc_file && $(cat "$dc_file") == "$1" ]] && peers+=("$(cat "${dc_file%.dc}.peer")")
+    done
+    (IFS=, && echo "${peers[*]}")
+}
+
+ready() { [[ $(http GET "$(cat "$work/ports/$1.operator")" /readyz) == ready* ]]; }
+
+# held_everywhere: whether the instances together hold a lease for each target.
+held_everywhere() {
+    local file leases=0 wanted
+    wanted=$(target_names "$work/config" | wc -l)
+    for file in "$work"/ports/*.operator; do
+        leases=$((leases + $(http GET "$(cat "$file")" /status | grep -o '"lease":' | wc -l)))
+    done
+    ((leases >= wanted))
+}
+
+# owned_everywhere: whether the slots in the status on standard input sum up to those configured.
+owned_everywhere() {
+    local owned wanted
+    owned=$(grep -o '"slots_owned":[0-9]*' | awk -F: '{sum += $2} END {print sum + 0}')
+    wanted=$(awk -F' = ' '$1 == "slots" {sum += $2} END {print sum + 0}' "$work/config/base.ini")
+    ((owned >= wanted))
+}
+
+# served N: whether the first instance sees N targets up with dispatchers and no slot unreleased or unowned.
+served() {
+    local status
+    status=$(http GET "$(cat "$work/ports/$1.operator")" /status) || return 1
+    [[ $status == *'"unreleased_slots":0'* ]] || return 1
+    held_everywhere && owned_everywhere <<<"$status"
+}
+
+entries() { cat "$work"/ports/*.caller | paste -sd, -; }
+
+# start_deployment EXAMPLE INSTANCES_PER_DATA_CENTRE: starts stand-ins and instances and waits for service.
+start_deployment() {
+    local example=$root/examples/$1 per=$2 file name dc index
+    mkdir -p "$work"/{out,pids,ports,history,logs,config}
+    start platform "$bin/standins/standin_platform" --port_file="$work/ports/platform" ${platform_flags:-}
+    wait_for 20 test -s "$work/ports/platform"
+    platform=127.0.0.1:$(cat "$work/ports/platform")
+    cp "$example"/*.ini "$work/config/"
+    for file in "$work"/config/*.ini; do
+        [[ $file == */base.ini ]] && continue
+        for name in $(sed -n 's/^\[target\.\(.*\)\]$/\1/p' "$file"); do
+            start_target "$name" "$file" 0
+        done
+    done
+    for file in "$work"/config/*.ini; do
+        [[ $file == */base.ini ]] && continue
+        for name in $(sed -n 's/^\[target\.\(.*\)\]$/\1/p' "$file"); do
+            wait_for 20 test -s "$work/ports/$name"
+            sed -i "/^\[target\.$name\]$/,/^$/s/^address = .*/address = 127.0.0.1:$(cat "$work/ports/$name")/" "$file"
+        done
+    done
+    "$bin/daemons/teaseltallyctl" publish --platform="$platform" "$work/config/base.ini" \
+        $(ls "$work"/config/*.ini | grep -v /base.ini)
+    for dc in $(sed -n 's/^\[data_centre\.\(.*\)\]$/\1/p' "$work/config/base.ini"); do
+        for ((index = 1; index <= per; ++index)); do
+            start_instance "$dc-$index" "$dc"
+        done
+    done
+    local first
+    first=$(basename "$(ls "$work"/ports/*.operator | head -n 1)" .operator)
+    wait_for 30 ready "$first"
+    wait_for 40 served "$first"
+}
--- /dev/null
+++ b/src/coordinator.cpp
@@ -0,0 +1,330 @@
+#include <teaseltally/coordinator.hpp>
+
+#include <teaseltally/log_line.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace teaseltally {
+namespace {
+
+/// Time after which a leaving target gets no new work.
+constexpr milliseconds drain_limit{3000};
+constexpr milliseconds append_retry{1000};
+constexpr milliseconds rejected_pause{200};
+
+} // namespace
+
+coordinator::coordinator(coordinator_settings settings)
+    : settings_(std::move(settings)), voter_(settings_.lease, settings_.guards.lease),
+      holder_(settings_.lease, settings_.guards.lease)
+{
+}
+
+void coordinator::observe(epoch at, std::string_view record, time_point now)
+{
+    const auto decoded = decode_record(record, "control:" + std::to_string(number(at)));
+    if (const auto* problem = failure(decoded)) {
+        state_.skip(at);
+        decide(log_line("record_skipped").add("offset", at).add("problem", to_string(*problem)).text());
+        return;
+    }
+    const auto& accepted = std::get<control_record>(decoded);
+    const bool fresh = at > state_.position();
+    const auto outcome = state_.apply(at, accepted);
+    if (!fresh)
+        return;
+    const bool own = accepted.session == settings_.session;
+    if (own && append_ && accepted.sequence >= append_->sequence) {
+        if (append_->beat && outcome.code == result_code::ok)
+            own_beat_ = beat_proof{at, append_->first_sent};
+        if (outcome.code != result_code::ok)
+            propose_after_ = now + rejected_pause;
+        append_.reset();
+    }
+    decide(log_line("record")
+               .add("offset", at)
+               .add("author", accepted.session)
+               .add("kind", accepted.body.index())
+               .add("outcome", name_of(outcome.code))
+               .add("applied", outcome.applied)
+               .text());
+    if (outcome.code == result_code::ok)
+        note_changes(now);
+    if (const auto* move = std::get_if<slot_move>(&accepted.body); move && outcome.code == result_code::ok) {
+        moves_seen_ += outcome.applied;
+        for (const auto& entry : move->slots)
+            decide(log_line("placement")
+                       .add("service", move->service)
+                       .add("slot", entry.slot)
+                       .add("epoch", at)
+                       .add("target", state_.targets()[number(entry.to)].name)
+                       .text());
+    }
+}
+
+bool coordinator::restore(const cluster_state& state, time_point now)
+{
+    if (state.position() <= state_.position())
+        return false;
+    state_ = state;
+    if (append_ && state_.last_sequence(settings_.session) >= append_->sequence)
+        append_.reset();
+    note_changes(now);
+    decide(log_line("restored").add("position", state_.position()).text());
+    return true;
+}
+
+/// Follows a changed state: joins, cells, drains and beats.
+void coordinator::note_changes(time_point now)
+{
+    ownership_changed_ = true;
+    if (const auto self = state_.sessions().find(settings_.session); self != state_.sessions().end()) {
+        cell_index_ = self->second.description.cell;
+        cell_name_ = cell_name(settings_.data_centre, cell_index_);
+        adopt_cell(now);
+        list_cell_targets();
+    }
+    for (const auto& [name, cell] : state_.cells()) {
+        auto& seen = beats_seen_[name];
+        if (seen.at != cell.beat_at)
+            seen = {cell.beat_at, now};
+    }
+    for (std::uint32_t index = 0; index < state_.targets().size(); ++index) {
+        const target_id target{index};
+        const auto* settings = state_.settings_of(target);
+        if (settings != nullptr && settings->draining)
+            draining_since_.try_emplace(target, now);
+        else
+            draining_since_.erase(target);
+        if (state_.accepts_slots(target))
+            accepting_since_.try_emplace(target, now);
+        else
+            accepting_since_.erase(target);
+    }
+    std::erase_if(direct_releases_, [&](const auto& entry) { return is_settled(entry.first, entry.second); });
+}
+
+/// @returns whether a direct release is of no use any more.
+bool coordinator::is_settled(const owned_item& item, epoch since) const
+{
+    if (since > state_.position())
+        return false;
+    const auto& [service, place] = item;
+    const auto& [hot, number_] = place;
+    if (!hot)
+        return !state_.unreleased().contains({service, slot_id{static_cast<std::uint32_t>(number_)}});
+    const auto found = state_.hot_keys().find({service, key_hash{number_}});
+    return found == state_.hot_keys().end() || found->second.since != since || found->second.released();
+}
+
+void coordinator::receive(const peer_message& message, time_point now)
+{
+    if (const auto* request = std::get_if<lease_request>(&message))
+        receive_request(*request, now);
+    else if (const auto* reply = std::get_if<lease_reply>(&message))
+        receive_reply(*reply, now);
+    else if (const auto* resign = std::get_if<lease_resign>(&message))
+        receive_resign(*resign, now);
+    else if (const auto* notice = std::get_if<release_notice>(&message)) {
+        for (const auto& entry : notice->entries)
+            direct_releases_[{entry.service, {entry.hot, entry.item}}] = entry.since;
+    }
+    else if (const auto* report = std::get_if<load_report>(&message)) {
+        loads_[report->target] = *report;
+        loads_at_[report->target] = now;
+    }
+}
+
+void coordinator::append_finished(time_point now)
+{
+    if (!append_)
+        return;
+    append_->in_flight = false;
+    append_->retry_at = now + append_retry;
+}
+
+void coordinator::revoked(target_id target, std::span<const release_entry> entries, time_point now)
+{
+    (void)target;
+    (void)now;
+    for (const auto& entry : entries)
+        revoked_[{entry.service, {entry.hot, entry.item}}] = entry.since;
+}
+
+void coordinator::tell_all(const peer_message& message)
+{
+    for (const auto& [session, member] : state_.sessions()) {
+        if (session != settings_.session)
+            actions_.emplace_back(send_action{session, message});
+    }
+}
+
+void coordinator::granted_until(target_id target, time_point until)
+{
+    auto& known = granted_until_[target];
+    known = std::max(known, until);
+}
+
+void coordinator::observe_target(target_id target, target_condition condition)
+{
+    observed_[target] = condition;
+}
+
+void coordinator::stop(time_point now)
+{
+    stopping_ = true;
+    heartbeat_due_ = true;
+    tick(now);
+}
+
+bool coordinator::stopped() const
+{
+    return stopping_ && holder_.targets().empty() && !votes();
+}
+
+void coordinator::tick(time_point now)
+{
+    ledger_.expire(now, settings_.lease.margin);
+    settle_rights(now);
+    elect(now);
+    balance_dispatchers(now);
+    if (heartbeat_due_ || now >= heartbeat_at_ + settings_.lease.heartbeat)
+        heartbeat(now);
+    release_idle(now);
+    report_loads(now);
+    propose(now);
+}
+
+std::vector<coordinator_action> coordinator::take_actions()
+{
+    return std::exchange(actions_, {});
+}
+
+void coordinator::decide(std::string line)
+{
+    actions_.emplace_back(decision_action{std::move(line)});
+}
+
+bool coordinator::behind() const
+{
+    return std::ranges::any_of(
+        held_, [&](target_id target) { return state_.position() < holder_.required_position(target); });
+}
+
+bool coordinator::dispatches(target_id target, time_point now) const
+{
+    return holder_.holds(target, now);
+}
+
+std::optional<dispatch_refusal> coordinator::check(const dispatch_request& request, time_point now) const
+{
+    const auto* target = state_.settings_of(request.target);
+    const auto* service = state_.settings_of(request.service);
+    if (target == nullptr || service == nullptr || state_.targets()[number(request.target)].lost)
+        return dispatch_refusal{result_code::not_run_no_owner};
+    const bool leased =
+        settings_.guards.lease_at_dispatch ? holder_.holds(request.target, now) : holder_.won(request.target);
+    if (!leased)
+        return dispatch_refusal{result_code::not_run_not_dispatcher, likely_dispatcher(request.target, now)};
+    const epoch needed = std::max(request.relied_on, holder_.required_position(request.target));
+    if (settings_.guards.caught_up_before_serving && state_.position() < needed)
+        return dispatch_refusal{result_code::not_run_behind, settings_.session};
+    const cell_state* own_cell = cell();
+    if (own_cell == nullptr || (!target->checks_grants && settings_.guards.reset_needs_fencing &&
+                                fencing_only(*own_cell, *service, now)))
+        return dispatch_refusal{result_code::not_run_no_owner};
+    if (settings_.guards.isolation_proof && !isolation_proven(request.service, now))
+        return dispatch_refusal{result_code::not_run_no_owner};
+    if (const auto since = draining_since_.find(request.target);
+        since != draining_since_.end() && (!service->keyed || now >= since->second + drain_limit))
+        return dispatch_refusal{result_code::not_run_draining, settings_.session};
+    if (!service->keyed)
+        return std::nullopt;
+    const slot_state& owned = state_.ownership(request.service, request.key);
+    if (owned.owner != request.target)
+        return dispatch_refusal{result_code::not_run_moved};
+    if (owned.released() || !settings_.guards.released_before_serving)
+        return std::nullopt;
+    const bool hot = state_.hot_keys().contains({request.service, request.key});
+    const std::uint64_t item =
+        hot ? number(request.key) : number(state_.slot_of(request.service, request.key));
+    const auto direct = direct_releases_.find({request.service, {hot, item}});
+    if (direct != direct_releases_.end() && direct->second == owned.since)
+        return std::nullopt;
+    return dispatch_refusal{result_code::not_run_moving, settings_.session};
+}
+
+std::variant<dispatch_permit, dispatch_refusal> coordinator::begin(const dispatch_request& request,
+                                                                   time_point now)
+{
+    if (auto refusal = check(request, now))
+        return *refusal;
+    dispatch_permit permit;
+    permit.token = holder_.token(request.target).value_or(dispatcher_token{});
+    if (state_.services()[number(request.service)].keyed) {
+        permit.slot = {request.service, state_.slot_of(request.service, request.key)};
+        permit.owner_since = state_.ownership(request.service, request.key).since;
+        permit.hot = state_.hot_keys().contains({request.service, request.key});
+    }
+    permit.ticket = ledger_.begin(
+        {request.target, request.service, permit.slot.slot, request.key, request.deadline, now, false});
+    return permit;
+}
+
+void coordinator::finish(ticket_id ticket, bool certain, time_point now)
+{
+    ledger_.finish(ticket, certain, now);
+}
+
+void coordinator::propose(time_point now)
+{
+    if (append_) {
+        if (append_->in_flight || now < append_->retry_at)
+            return;
+        append_->in_flight = true;
+        actions_.emplace_back(append_action{append_->record});
+        return;
+    }
+    if (now < propose_after_)
+        return;
+    auto body = next_proposal(now);
+    if (!body)
+        return;
+    ++sequence_;
+    const bool beat = std::holds_alternative<cell_beat>(*body);
+    append_ = pending_append{
+        sequence_, encode({settings_.session, sequence_, std::move(*body)}), now, {}, true, beat};
+    actions_.emplace_back(append_action{append_->record});
+}
+
+std::optional<record_body> coordinator::next_proposal(time_point now)
+{
+    if (!joined()) {
+        if (stopping_ || state_.version() == 0)
+            return std::nullopt;
+        return session_join{settings_.instance, settings_.data_centre, cell_index_, settings_.address,
+                            settings_.peer_port};
+    }
+    if (auto body = release_proposal())
+        return body;
+    if (auto body = beat_proposal(now))
+        return body;
+    if (auto body = voter_proposal(now))
+        return body;
+    if (auto body = reset_proposal(now))
+        return body;
+    if (auto body = target_proposal(now))
+        return body;
+    if (auto body = evacuation_proposal(now))
+        return body;
+    if (stopping_)
+        return std::nullopt;
+    if (auto body = yield_proposal(now))
+        return body;
+    if (auto body = placement_proposal(now))
+        return body;
+    return balance_proposal(now);
+}
+
+} // namespace teaseltally
--- /dev/null
+++ b/src/coordinator_placement.cpp
@@ -0,0 +1,418 @@
+#include <teaseltally/coordinator.hpp>
+#include <teaseltally/log_line.hpp>
+
+#include <algorithm>
+
+// Ownership: releases, evacuation, placement and balance.
+
+namespace teaseltally {
+namespace {
+
+constexpr std::size_t max_moves_per_record = 256;
+constexpr milliseconds notice_interval{500};
+constexpr milliseconds revoke_interval{300};
+constexpr milliseconds report_interval{1000};
+constexpr milliseconds report_lifetime{5000};
+constexpr milliseconds balance_interval{1000};
+/// Head start of each rank over the next in proposing placements.
+constexpr milliseconds proposer_delay{3000};
+/// Time for which a first placement waits for the cells of all data centres.
+constexpr milliseconds start_patience{3000};
+/// Instances that load reports are sent to.
+constexpr std::size_t proposers_informed = 2;
+/// Time over which a target that came up is given its full share.
+constexpr milliseconds slow_start{30'000};
+constexpr double slow_start_share = 0.2;
+constexpr std::chrono::minutes churn_window{1};
+constexpr double busy_milliseconds_per_slot = 1000.0;
+
+std::uint64_t placement_rank(session_id session)
+{
+    return rendezvous_rank("placement", number(session));
+}
+
+} // namespace
+
+/// @returns how many sessions rank before this one as proposers.
+std::size_t coordinator::proposer_rank() const
+{
+    const auto own = placement_rank(settings_.session);
+    return static_cast<std::size_t>(std::ranges::count_if(
+        state_.sessions(), [&](const auto& entry) { return placement_rank(entry.first) > own; }));
+}
+
+/// Whether nothing of the old owner's past can still be executing, as far as time and votes tell.
+bool coordinator::may_release(target_id previous, epoch since, time_point now) const
+{
+    if (!holder_.holds(previous, now) || state_.position() < holder_.required_position(previous))
+        return false;
+    if (const auto until = predecessor_until_.find(previous);
+        settings_.guards.predecessor_wait && until != predecessor_until_.end() && now < until->second)
+        return false;
+    if (!settings_.guards.position_of_majority)
+        return true;
+    std::size_t informed = 0;
+    for (const session_id voter : cell()->voters) {
+        const auto found = heard_.find(voter);
+        const bool knows =
+            voter == settings_.session ||
+            (found != heard_.end() && found->second.voters == adopted_ && found->second.position >= since);
+        informed += knows ? 1 : 0;
+    }
+    return informed >= majority(cell()->voters.size());
+}
+
+/// Whether the target refuses the item from now on, if it checks grants.
+bool coordinator::fenced(target_id previous, const release_entry& entry, time_point now)
+{
+    const auto* target = state_.settings_of(previous);
+    if (target == nullptr)
+        return false;
+    const auto* service = state_.settings_of(entry.service);
+    const bool earlier_may_live =
+        cell() != nullptr && service != nullptr && fencing_only(*cell(), *service, now);
+    if (!target->checks_grants)
+        return !earlier_may_live;
+    const auto done = revoked_.find({entry.service, {entry.hot, entry.item}});
+    if (done != revoked_.end() && done->second == entry.since)
+        return true;
+    const auto granted = granted_until_.find(previous);
+    const bool lapsed = granted == granted_until_.end() || now >= granted->second + settings_.lease.margin;
+    return lapsed && state_.targets()[number(previous)].condition == target_condition::down &&
+           !earlier_may_live;
+}
+
+void coordinator::release_idle(time_point now)
+{
+    std::map<target_id, std::vector<release_entry>> to_revoke;
+    std::vector<release_entry> released;
+    const auto consider = [&](target_id previous, const release_entry& entry, bool busy) {
+        if (!may_release(previous, entry.since, now) || (busy && settings_.guards.idle_before_release))
+            return;
+        if (fenced(previous, entry, now))
+            released.push_back(entry);
+        else if (to_revoke[previous].size() < max_moves_per_record)
+            to_revoke[previous].push_back(entry);
+    };
+    for (const auto& ref : state_.unreleased()) {
+        if (released.size() >= max_moves_per_record)
+            break;
+        const auto& slot = state_.services()[number(ref.service)].slots[number(ref.slot)];
+        if (held_.contains(slot.previous))
+            consider(slot.previous, {ref.service, number(ref.slot), false, slot.since},
+                     ledger_.busy_slot(slot.previous, ref));
+    }
+    for (const auto& [key, slot] : state_.hot_keys()) {
+        if (!slot.released() && held_.contains(slot.previous))
+            consider(slot.previous, {key.service, number(key.key), true, slot.since},
+                     ledger_.busy_key(slot.previous, key.service, key.key));
+    }
+    for (auto& [target, entries] : to_revoke) {
+        const auto* target_config = state_.settings_of(target);
+        if (target_config == nullptr || !target_config->checks_grants ||
+            now < revoke_sent_[target] + revoke_interval)
+            continue;
+        revoke_sent_[target] = now;
+        actions_.emplace_back(
+            revoke_action{target, holder_.token(target).value_or(dispatcher_token{}), std::move(entries)});
+    }
+    const bool news = released != released_;
+    released_ = std::move(released);
+    if (released_.empty() || (!news && now < notice_at_ + notice_interval))
+        return;
+    notice_at_ = now;
+    std::map<std::string, release_notice> notices;
+    for (const auto& entry : released_) {
+        const auto& slot = entry.hot ? state_.hot_keys().at({entry.service, key_hash{entry.item}})
+                                     : state_.services()[number(entry.service)].slots[entry.item];
+        notices[state_.cell_of(slot.owner)].entries.push_back(entry);
+        decide(log_line("release")
+                   .add("service", entry.service)
+                   .add(entry.hot ? "key" : "slot", entry.item)
+                   .add("epoch", entry.since)
+                   .add("target", state_.targets()[number(slot.owner)].name)
+                   .text());
+    }
+    for (auto& [name, notice] : notices) {
+        notice.from = settings_.session;
+        const auto found = state_.cells().find(name);
+        if (found == state_.cells().end())
+            continue;
+        for (const session_id voter : found->second.voters) {
+            if (voter == settings_.session)
+                receive(notice, now);
+            else
+                actions_.emplace_back(send_action{voter, notice});
+        }
+    }
+}
+
+std::optional<record_body> coordinator::release_proposal()
+{
+    if (released_.empty())
+        return std::nullopt;
+    const auto& first = released_.front();
+    if (first.hot)
+        return key_released{first.service, key_hash{first.item}, first.since};
+    slots_released body{first.service, {}};
+    for (const auto& entry : released_) {
+        if (!entry.hot && entry.service == first.service)
+            body.slots.push_back({slot_id{static_cast<std::uint32_t>(entry.item)}, entry.since});
+    }
+    return body;
+}
+
+/// At most half of a service's targets are reported down; doubt about more is doubt about oneself.
+bool coordinator::may_eject(service_id service) const
+{
+    std::size_t all = 0;
+    std::size_t down = 0;
+    for (const auto& target : state_.targets()) {
+        if (target.service != service || !target.configured)
+            continue;
+        ++all;
+        down += target.condition == target_condition::down ? 1 : 0;
+    }
+    return 2 * (down + 1) <= all;
+}
+
+std::optional<record_body> coordinator::target_proposal(time_point now) const
+{
+    for (const auto& [target, condition] : observed_) {
+        const auto& known = state_.targets()[number(target)];
+        const bool doubtful = condition == target_condition::down && !may_eject(known.service);
+        if (known.condition != condition && holder_.holds(target, now) && !doubtful)
+            return target_report{target, known.reported_at, condition};
+    }
+    return std::nullopt;
+}
+
+std::vector<placement_target> coordinator::accepting_targets(service_id service) const
+{
+    std::vector<placement_target> targets;
+    for (std::uint32_t index = 0; index < state_.targets().size(); ++index) {
+        const target_id target{index};
+        if (state_.targets()[index].service == service && state_.accepts_slots(target) && is_served(target))
+            targets.push_back({target, static_cast<double>(state_.settings_of(target)->slots), 0.0});
+    }
+    return targets;
+}
+
+/// @returns whether a target's cell has voters and has not yielded the target's service.
+bool coordinator::is_served(target_id target) const
+{
+    const std::string name = state_.cell_of(target);
+    const auto found = state_.cells().find(name);
+    return found != state_.cells().end() && !found->second.voters.empty() &&
+           !state_.yields().contains({name, state_.targets()[number(target)].service});
+}
+
+/// Moves items, counting the slots that each target owns as its load.
+std::optional<record_body> coordinator::make_move(service_id service, std::span<const placement_item> items)
+{
+    auto targets = accepting_targets(service);
+    for (auto& target : targets) {
+        target.load = static_cast<double>(
+            std::ranges::count_if(state_.services()[number(service)].slots,
+                                  [&](const slot_state& s) { return s.owner == target.id; }));
+    }
+    slot_move body{service, {}};
+    for (const auto& move : place_items(items, std::move(targets)))
+        body.slots.push_back({slot_id{static_cast<std::uint32_t>(move.item.item)}, move.item.since, move.to});
+    if (body.slots.empty())
+        return std::nullopt;
+    return body;
+}
+
+/// @returns whether slots of an owner may be placed elsewhere without its dispatcher's doing.
+bool coordinator::needs_place(target_id owner) const
+{
+    if (owner == no_target)
+        return true;
+    const auto& target = state_.targets()[number(owner)];
+    return target.lost || state_.yields().contains({state_.cell_of(owner), target.service});
+}
+
+/// Moves slots and hot keys off held targets that accept none.
+std::optional<record_body> coordinator::evacuation_proposal(time_point now)
+{
+    std::set<service_id> services;
+    std::set<target_id> leaving;
+    for (const target_id target : held_) {
+        if (!state_.accepts_slots(target) && holder_.holds(target, now)) {
+            leaving.insert(target);
+            services.insert(state_.targets()[number(target)].service);
+        }
+    }
+    for (const auto& [key, slot] : state_.hot_keys()) {
+        if (!slot.released() || !leaving.contains(slot.owner))
+            continue;
+        const auto home =
+            state_.services()[number(key.service)].slots[number(state_.slot_of(key.service, key.key))];
+        if (home.owner != no_target && home.owner != slot.owner && state_.accepts_slots(home.owner))
+            return key_move{key.service, key.key, slot.since, home.owner};
+    }
+    for (const service_id service : services) {
+        std::vector<placement_item> items;
+        const auto& slots = state_.services()[number(service)].slots;
+        for (std::size_t index = 0; index < slots.size() && items.size() < max_moves_per_record; ++index) {
+            const auto& slot = slots[index];
+            if (slot.released() && leaving.contains(slot.owner))
+                items.push_back({index, false, slot.owner, slot.since, 0.0});
+        }
+        if (auto body = items.empty() ? std::nullopt : make_move(service, items))
+            return body;
+    }
+    return std::nullopt;
+}
+
+/// @returns whether every target of a service that accepts slots has a cell with voters.
+bool coordinator::every_cell_served(service_id service) const
+{
+    for (std::uint32_t index = 0; index < state_.targets().size(); ++index) {
+        const target_id target{index};
+        if (state_.targets()[index].service == service && state_.accepts_slots(target) && !is_served(target))
+            return false;
+    }
+    return true;
+}
+
+/// Places slots that nobody owns or whose owner is gone for good.
+std::optional<record_body> coordinator::placement_proposal(time_point now)
+{
+    if (!ownership_changed_ && needed_since_ == time_point{})
+        return std::nullopt;
+    ownership_changed_ = false;
+    for (std::uint32_t index = 0; index < state_.services().size(); ++index) {
+        const service_id service{index};
+        if (accepting_targets(service).empty())
+            continue;
+        std::vector<placement_item> items;
+        const auto& slots = state_.services()[index].slots;
+        for (std::size_t slot = 0; slot < slots.size() && items.size() < max_moves_per_record; ++slot) {
+            if (slots[slot].released() && needs_place(slots[slot].owner))
+                items.push_back({slot, false, slots[slot].owner, slots[slot].since, 0.0});
+        }
+        if (items.empty())
+            continue;
+        if (needed_since_ == time_point{})
+            needed_since_ = now;
+        if (now < needed_since_ + proposer_delay * proposer_rank() ||
+            (!every_cell_served(service) && now < needed_since_ + start_patience))
+            return std::nullopt;
+        ownership_changed_ = true;
+        return make_move(service, items);
+    }
+    needed_since_ = time_point{};
+    return std::nullopt;
+}
+
+/// Levels observed load within the churn budget.
+std::optional<record_body> coordinator::balance_proposal(time_point now)
+{
+    if (now < balanced_at_ + balance_interval || proposer_rank() != 0)
+        return std::nullopt;
+    balanced_at_ = now;
+    while (!recent_moves_.empty() && recent_moves_.front() + churn_window < now)
+        recent_moves_.pop_front();
+    const std::size_t allowed = state_.settings().deployment.churn_per_minute;
+    if (recent_moves_.size() >= allowed)
+        return std::nullopt;
+    balance_limits limits;
+    limits.budget = std::min(limits.budget, allowed - recent_moves_.size());
+    for (std::uint32_t index = 0; index < state_.services().size(); ++index) {
+        const service_id service{index};
+        const auto& slots = state_.services()[index].slots;
+        auto targets = accepting_targets(service);
+        std::vector<placement_item> items;
+        bool fresh = !slots.empty();
+        for (auto& target : targets) {
+            const auto report = loads_.find(target.id);
+            fresh = fresh && report != loads_.end() && now < loads_at_[target.id] + report_lifetime;
+            if (!fresh)
+                break;
+            const double ramp = static_cast<double>((now - accepting_since_[target.id]) / milliseconds{1}) /
+                                static_cast<double>(slow_start.count());
+            target.capacity *= busy_milliseconds_per_slot * std::clamp(ramp, slow_start_share, 1.0);
+            target.load = report->second.load;
+            for (const auto& entry : report->second.slots) {
+                if (entry.item < slots.size() && slots[entry.item].released() &&
+                    slots[entry.item].owner == target.id)
+                    items.push_back(
+                        {entry.item, false, target.id, slots[entry.item].since, double(entry.load)});
+            }
+            for (const auto& entry : report->second.keys) {
+                const auto& owned = state_.ownership(service, key_hash{entry.item});
+                if (owned.released() && owned.owner == target.id)
+                    items.push_back({entry.item, true, target.id, owned.since, double(entry.load)});
+            }
+        }
+        if (!fresh)
+            continue;
+        const auto moves = balance_items(std::move(items), std::move(targets), limits);
+        if (moves.empty())
+            continue;
+        if (moves.front().item.hot) {
+            recent_moves_.push_back(now);
+            return key_move{service, key_hash{moves.front().item.item}, moves.front().item.since,
+                            moves.front().to};
+        }
+        slot_move body{service, {}};
+        for (const auto& move : moves) {
+            if (move.item.hot)
+                continue;
+            body.slots.push_back(
+                {slot_id{static_cast<std::uint32_t>(move.item.item)}, move.item.since, move.to});
+            recent_moves_.push_back(now);
+        }
+        return body;
+    }
+    return std::nullopt;
+}
+
+/// Lets the slots of a cell be taken over whose last beat is older than a service's grace.
+std::optional<record_body> coordinator::yield_proposal(time_point now)
+{
+    for (const auto& [name, seen] : beats_seen_) {
+        if (name == cell_name_ || seen.at == no_epoch)
+            continue;
+        for (std::uint32_t index = 0; index < state_.services().size(); ++index) {
+            const service_id service{index};
+            const auto* settings = state_.settings_of(service);
+            if (settings == nullptr || settings->isolation_grace.count() == 0 ||
+                state_.yields().contains({name, service}))
+                continue;
+            const auto wait =
+                settings->isolation_grace + settings_.lease.margin + proposer_delay * proposer_rank();
+            if (now >= seen.sent + wait)
+                return cell_yield{name, service, seen.at};
+        }
+    }
+    return std::nullopt;
+}
+
+void coordinator::report_loads(time_point now)
+{
+    if (now < reported_at_ + report_interval)
+        return;
+    reported_at_ = now;
+    ledger_.roll(now);
+    std::vector<session_id> proposers;
+    for (const auto& [session, member] : state_.sessions())
+        proposers.push_back(session);
+    std::ranges::sort(proposers, std::greater<>{}, placement_rank);
+    if (proposers.size() > proposers_informed)
+        proposers.resize(proposers_informed);
+    for (const target_id target : held_) {
+        auto report = ledger_.report(target);
+        report.from = settings_.session;
+        for (const session_id proposer : proposers) {
+            if (proposer == settings_.session)
+                receive(report, now);
+            else
+                actions_.emplace_back(send_action{proposer, report});
+        }
+    }
+}
+
+} // namespace teaseltally
--- /dev/null
+++ b/src/json.cpp
@@ -0,0 +1,108 @@
+#include <teaseltally/json.hpp>
+
+#include <json/reader.h>
+#include <json/writer.h>
+#include <memory>
+
+namespace teaseltally {
+
+result<Json::Value> parse_json(std::string_view text, std::string_view source)
+{
+    static const auto builder = [] {
+        Json::CharReaderBuilder settings;
+        Json::CharReaderBuilder::strictMode(&settings.settings_);
+        return settings;
+    }();
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value value;
+    std::string problems;
+    try {
+        if (reader->parse(text.data(), text.data() + text.size(), &value, &problems))
+            return value;
+    }
+    catch (const Json::Exception& problem) {
+        problems = problem.what();
+    }
+    return error{result_code::message_malformed, "invalid JSON: " + problems, std::string{source}};
+}
+
+std::string json_text(const Json::Value& value)
+{
+    static const auto builder = [] {
+        Json::StreamWriterBuilder settings;
+        settings["indentation"] = "";
+        return settings;
+    }();
+    return Json::writeString(builder, value);
+}
+
+json_reader::json_reader(const Json::Value& value, std::string_view source) : value_(value), source_(source)
+{
+    if (!value.isObject()) {
+        failed_ = true;
+        fault_ = {result_code::message_malformed, "expected a JSON object", source_};
+    }
+}
+
+const Json::Value& json_reader::member(const char* key) const
+{
+    return value_.isObject() ? value_[key] : Json::Value::nullSingleton();
+}
+
+std::uint64_t json_reader::unsigned_at(const char* key)
+{
+    const Json::Value& found = member(key);
+    if (found.isUInt64())
+        return found.asUInt64();
+    fail(key, "an unsigned number");
+    return 0;
+}
+
+std::string json_reader::text_at(const char* key)
+{
+    const Json::Value& found = member(key);
+    if (found.isString())
+        return found.asString();
+    fail(key, "a string");
+    return {};
+}
+
+bool json_reader::flag_at(const char* key)
+{
+    const Json::Value& found = member(key);
+    if (found.isBool())
+        return found.asBool();
+    fail(key, "true or false");
+    return false;
+}
+
+const Json::Value& json_reader::array_at(const char* key)
+{
+    static const Json::Value none(Json::arrayValue);
+    const Json::Value& found = member(key);
+    if (found.isArray())
+        return found;
+    fail(key, "an array");
+    return none;
+}
+
+const Json::Value& json_reader::object_at(const char* key)
+{
+    static const Json::Value none(Json::objectValue);
+    const Json::Value& found = member(key);
+    if (found.isObject())
+        return found;
+    fail(key, "an object");
+    return none;
+}
+
+void json_reader::fail(const char* key, std::string_view expected)
+{
+    if (failed_)
+        return;
+    failed_ = true;
+    fault_ = {result_code::message_malformed,
+              "field \"" + std::string{key} + "\": expected " + std::string{expected}, source_};
+}
+
+} // namespace teaseltally
--- /dev/null
+++ b/src/log_line.cpp
@@ -0,0 +1,24 @@
+#include <teaseltally/log_line.hpp>
+
+namespace teaseltally {
+
+log_line& log_line::add(std::string_view key, std::string_view value)
+{
+    text_ += ' ';
+    text_ += key;
+    text_ += '=';
+    if (!value.empty() && value.find_first_of(" \"\n\r\t=") == std::string_view::npos) {
+        text_ += value;
+        return *this;
+    }
+    text_ += '"';
+    for (const char letter : value) {
+        if (letter == '"' || letter == '\\')
+            text_ += '\\';
+        text_ += static_cast<unsigned char>(letter) < ' ' ? ' ' : letter;
+    }
+    text_ += '"';
+    return *this;
+}
+
+} // namespace teaseltally
--- /dev/null
+++ b/src/net/http.cpp
@@ -0,0 +1,326 @@
+#include <teaseltally/net/http.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <charconv>
+#include <sys/socket.h>
+
+namespace teaseltally {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+/// @returns whether a kept connection is closed or holds bytes that nobody asked for.
+bool is_stale(asio::ip::tcp::socket& socket)
+{
+    char byte = 0;
+    const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return !(count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
+std::chrono::steady_clock::duration time_left(time_point deadline)
+{
+    return std::max<microseconds>(deadline - boot_clock::now(), microseconds{0});
+}
+
+http_failure make_failure(bool sent, const error_code& code)
+{
+    return {sent, code == beast::error::timeout, code.message()};
+}
+
+} // namespace
+
+result<tcp_endpoint> parse_endpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    error_code problem;
+    std::uint16_t port = 0;
+    if (colon != std::string_view::npos) {
+        const auto address = asio::ip::make_address(std::string{text.substr(0, colon)}, problem);
+        const auto digits = text.substr(colon + 1);
+        const auto [stop, bad] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+        if (!problem && bad == std::errc{} && stop == digits.data() + digits.size())
+            return tcp_endpoint{address, port};
+    }
+    return error{result_code::configuration_bad_value, "address \"" + std::string{text} + "\" is not IP:PORT",
+                 ""};
+}
+
+http_client::http_client(asio::any_io_executor executor, http_client_limits limits)
+    : executor_(std::move(executor)), limits_(limits)
+{
+}
+
+http_client::~http_client()
+{
+    *alive_ = false;
+}
+
+/// Holds one connection for one exchange and returns it to the pool if it ended cleanly.
+class http_client::lease {
+public:
+    lease(http_client& client, const tcp_endpoint& to) : client_(client), to_(to), alive_(client.alive_)
+    {
+        auto& pool = client_.pools_[to_];
+        while (!pool.idle.empty() && !stream_) {
+            stream_ = std::move(pool.idle.back());
+            pool.idle.pop_back();
+            if (is_stale(stream_->socket())) {
+                stream_.reset();
+                --pool.open;
+            }
+        }
+        connected_ = stream_ != nullptr;
+        if (!connected_ && pool.open < client_.limits_.connections_per_endpoint) {
+            ++pool.open;
+            stream_ = std::make_unique<beast::tcp_stream>(client_.executor_);
+        }
+    }
+
+    ~lease()
+    {
+        if (!stream_ || !*alive_)
+            return;
+        auto& pool = client_.pools_[to_];
+        if (keep_)
+            pool.idle.push_back(std::move(stream_));
+        else
+            --pool.open;
+    }
+
+    lease(const lease&) = delete;
+    lease& operator=(const lease&) = delete;
+    lease(lease&&) = delete;
+    lease& operator=(lease&&) = delete;
+
+    [[nodiscard]] beast::tcp_stream* stream() const { return stream_.get(); }
+    [[nodiscard]] bool connected() const { return connected_; }
+    void keep() { keep_ = true; }
+
+private:
+    http_client& client_;
+    tcp_endpoint to_;
+    std::shared_ptr<bool> alive_;
+    std::unique_ptr<beast::tcp_stream> stream_;
+    bool connected_ = false;
+    bool keep_ = false;
+};
+
+asio::awaitable<http_outcome> http_client::exchange(tcp_endpoint to, http_request request,
+                                                    time_point deadline, write_permit permit)
+{
+    lease held(*this, to);
+    auto* stream = held.stream();
+    if (stream == nullptr)
+        co_return http_failure{false, false, "all connections are in use"};
+    stream->expires_after(time_left(deadline));
+    if (!held.connected()) {
+        if (const auto [failed] = co_await stream->async_connect(to, as_result); failed)
+            co_return make_failure(false, failed);
+        stream->socket().set_option(asio::ip::tcp::no_delay(true));
+    }
+    request.prepare_payload();
+    if (permit && !permit())
+        co_return http_failure{false, false, "not permitted"};
+    if (const auto [failed, written] = co_await http::async_write(*stream, request, as_result); failed)
+        co_return make_failure(true, failed);
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(limits_.body_bytes);
+    if (const auto [failed, read] = co_await http::async_read(*stream, buffer, parser, as_result); failed)
+        co_return make_failure(true, failed);
+    if (parser.get().need_eof())
+        co_return http_failure{true, false, "response without a length"};
+    if (parser.keep_alive() && buffer.size() == 0)
+        held.keep();
+    stream->expires_never();
+    co_return parser.release();
+}
+
+std::size_t http_client::connections(const tcp_endpoint& to) const
+{
+    const auto found = pools_.find(to);
+    return found == pools_.end() ? 0 : found->second.open;
+}
+
+void http_client::close_idle(const tcp_endpoint& to)
+{
+    const auto found = pools_.find(to);
+    if (found == pools_.end())
+        return;
+    found->second.open -= found->second.idle.size();
+    found->second.idle.clear();
+}
+
+/// State that connections share with their server.
+struct http_server::shared : std::enable_shared_from_this<shared> {
+    shared(asio::any_io_executor with, const tcp_endpoint& at, http_server_limits bounds, handler answer)
+        : executor(std::move(with)), acceptor(executor, at), limits(bounds), handle(std::move(answer))
+    {
+    }
+
+    asio::any_io_executor executor;
+    asio::ip::tcp::acceptor acceptor;
+    http_server_limits limits;
+    handler handle;
+    std::set<beast::tcp_stream*> idle;
+    std::size_t connections = 0;
+    std::size_t active = 0;
+    bool draining = false;
+
+    asio::awaitable<void> accept();
+    asio::awaitable<void> serve(beast::tcp_stream stream);
+};
+
+namespace {
+
+/// Returns when the other side has closed its connection.
+asio::awaitable<void> wait_closed(asio::ip::tcp::socket& socket)
+{
+    const auto [failed] = co_await socket.async_wait(asio::ip::tcp::socket::wait_read, as_result);
+    char byte = 0;
+    if (failed || ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0)
+        co_return;
+    asio::steady_timer never(co_await asio::this_coro::executor, asio::steady_timer::time_point::max());
+    co_await never.async_wait(as_result);
+}
+
+} // namespace
+
+asio::awaitable<void> http_server::shared::accept()
+{
+    const auto self = shared_from_this();
+    while (!draining) {
+        auto [failed, socket] = co_await acceptor.async_accept(as_result);
+        if (failed == asio::error::operation_aborted || draining)
+            co_return;
+        if (failed) {
+            co_await sleep_for(milliseconds{10});
+            continue;
+        }
+        if (connections >= limits.connections)
+            continue;
+        socket.set_option(asio::ip::tcp::no_delay(true));
+        asio::co_spawn(executor, serve(beast::tcp_stream(std::move(socket))), asio::detached);
+    }
+}
+
+asio::awaitable<void> http_server::shared::serve(beast::tcp_stream stream)
+{
+    using namespace asio::experimental::awaitable_operators;
+    const auto self = shared_from_this();
+    ++connections;
+    beast::flat_buffer buffer;
+    bool open = true;
+    while (open && !draining) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(limits.body_bytes);
+        idle.insert(&stream);
+        stream.expires_after(limits.idle_time);
+        if (buffer.size() == 0) {
+            const auto [failed, read] = co_await http::async_read_some(stream, buffer, parser, as_result);
+            if (failed) {
+                idle.erase(&stream);
+                break;
+            }
+        }
+        idle.erase(&stream);
+        stream.expires_after(limits.read_time);
+        const auto [failed, read] = co_await http::async_read(stream, buffer, parser, as_result);
+        if (failed == http::error::body_limit) {
+            auto response = make_response(413, "request body exceeds the limit\n");
+            response.set("tt-class", name_of(result_class::refused));
+            response.keep_alive(false);
+            co_await http::async_write(stream, response, as_result);
+            break;
+        }
+        if (failed)
+            break;
+        ++active;
+        auto request = parser.release();
+        const bool keep = request.keep_alive();
+        const unsigned version = request.version();
+        stream.expires_never();
+        auto outcome = co_await (handle(std::move(request)) || wait_closed(stream.socket()));
+        --active;
+        if (outcome.index() != 0)
+            break;
+        auto response = std::get<0>(std::move(outcome));
+        response.version(version);
+        open = keep && !draining;
+        response.keep_alive(open);
+        response.prepare_payload();
+        stream.expires_after(limits.write_time);
+        if (const auto [write_failed, written] = co_await http::async_write(stream, response, as_result);
+            write_failed)
+            break;
+    }
+    error_code ignored;
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    --connections;
+}
+
+http_server::http_server(asio::any_io_executor executor, const tcp_endpoint& at, http_server_limits limits,
+                         handler handle)
+    : shared_(std::make_shared<shared>(std::move(executor), at, limits, std::move(handle)))
+{
+    asio::co_spawn(shared_->executor, shared_->accept(), asio::detached);
+}
+
+http_server::~http_server()
+{
+    drain();
+}
+
+tcp_endpoint http_server::local() const
+{
+    return shared_->acceptor.local_endpoint();
+}
+
+void http_server::drain()
+{
+    shared_->draining = true;
+    error_code ignored;
+    shared_->acceptor.close(ignored);
+    for (auto* stream : shared_->idle)
+        stream->cancel();
+}
+
+std::size_t http_server::active() const noexcept
+{
+    return shared_->active;
+}
+
+http_response make_response(unsigned status, std::string body, std::string_view content_type)
+{
+    http_response response{static_cast<http::status>(status), 11};
+    response.set(http::field::content_type, content_type);
+    response.body() = std::move(body);
+    return response;
+}
+
+http_request make_request(http::verb verb, std::string_view target, std::string body)
+{
+    http_request request{verb, target, 11};
+    request.body() = std::move(body);
+    return request;
+}
+
+asio::awaitable<void> sleep_for(microseconds duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(as_result);
+}
+
+} // namespace teaseltally
--- /dev/null
+++ b/src/net/instance.cpp
@@ -0,0 +1,496 @@
+#include <teaseltally/instance.hpp>
+#include <teaseltally/json.hpp>
+#include <teaseltally/log_line.hpp>
+#include <teaseltally/snapshot.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace teaseltally {
+namespace {
+
+namespace http = boost::beast::http;
+constexpr auto control_stream = "control";
+constexpr auto snapshot_stream = "snapshots";
+constexpr milliseconds tick_interval{100};
+constexpr milliseconds log_wait{1000};
+constexpr milliseconds log_retry{300};
+constexpr milliseconds peer_state_limit{1500};
+constexpr milliseconds snapshot_check_interval{1000};
+/// Records after which a snapshot is written again, at the earliest after `least_snapshot_age`.
+constexpr std::uint64_t records_per_snapshot = 512;
+constexpr milliseconds least_snapshot_age{10'000};
+constexpr int snapshots_per_retention = 4;
+constexpr std::size_t connections_per_peer = 1024;
+constexpr std::size_t connections_per_target = 100;
+
+std::string_view query_value(std::string_view target, std::string_view name)
+{
+    const auto question = target.find('?');
+    std::string_view rest =
+        question == std::string_view::npos ? std::string_view{} : target.substr(question + 1);
+    while (!rest.empty()) {
+        const auto pair = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+        if (pair.starts_with(name) && pair.size() > name.size() && pair[name.size()] == '=')
+            return pair.substr(name.size() + 1);
+    }
+    return {};
+}
+
+std::string_view path_of(const http_request& request)
+{
+    const std::string_view target{request.target().data(), request.target().size()};
+    return target.substr(0, target.find('?'));
+}
+
+tcp_endpoint require_endpoint(std::string_view text)
+{
+    const auto parsed = parse_endpoint(text);
+    if (const auto* problem = failure(parsed))
+        throw std::invalid_argument(to_string(*problem));
+    return std::get<tcp_endpoint>(parsed);
+}
+
+tcp_endpoint listen_at(const instance_settings& settings, std::uint16_t port)
+{
+    return {asio::ip::make_address(settings.address), port};
+}
+
+coordinator_settings decision_settings(const instance_settings& settings, session_id session,
+                                       std::uint16_t peer_port)
+{
+    coordinator_settings out;
+    out.session = session;
+    out.instance = settings.name;
+    out.data_centre = settings.data_centre;
+    out.address = settings.address;
+    out.peer_port = peer_port;
+    return out;
+}
+
+} // namespace
+
+std::optional<tcp_endpoint> peer_endpoint(const cluster_state& state, session_id session)
+{
+    const auto found = state.sessions().find(session);
+    if (found == state.sessions().end())
+        return std::nullopt;
+    boost::system::error_code problem;
+    const auto address = asio::ip::make_address(found->second.description.address, problem);
+    if (problem)
+        return std::nullopt;
+    return tcp_endpoint{address, found->second.description.peer_port};
+}
+
+instance::instance(asio::any_io_executor executor, instance_settings settings, session_id session,
+                   log_sink log)
+    : executor_(std::move(executor)), settings_(std::move(settings)), log_(std::move(log)),
+      client_(executor_, {connections_per_peer}), target_client_(executor_, {connections_per_target}),
+      platform_http_(executor_, {}), platform_(platform_http_, require_endpoint(settings_.platform)),
+      peer_server_(std::make_unique<http_server>(
+          executor_, listen_at(settings_, settings_.peer_port), http_server_limits{.body_bytes = 16U << 20U},
+          [this](http_request request) { return serve_peer(std::move(request)); })),
+      channel_(std::make_unique<peer_channel>(
+          executor_,
+          asio::ip::udp::endpoint{asio::ip::make_address(settings_.address), peer_server_->local().port()},
+          [this](const peer_message& message) { receive(message); })),
+      decisions_(decision_settings(settings_, session, peer_server_->local().port())),
+      context_{executor_, decisions_,  client_, target_client_,
+               measured_, quarantine_, log_,    [this] { act(); }},
+      dispatcher_(context_), entry_(context_, dispatcher_, number(session)), timers_(executor_),
+      caller_server_(std::make_unique<http_server>(
+          executor_, listen_at(settings_, settings_.caller_port), http_server_limits{},
+          [this](http_request request) { return entry_.serve(std::move(request)); })),
+      operator_server_(std::make_unique<http_server>(
+          executor_, listen_at(settings_, settings_.operator_port), http_server_limits{},
+          [this](http_request request) { return serve_operator(std::move(request)); }))
+{
+    dispatcher_.set_elsewhere([this](work_order order) { return entry_.run_elsewhere(std::move(order)); });
+    subscriptions_.push_back(timers_.every(tick_interval, [this](time_point now) { tick(now); }));
+    subscriptions_.push_back(
+        timers_.every(snapshot_check_interval, [this](time_point) { refresh_gauges(); }));
+    asio::co_spawn(executor_, follow_log(), asio::detached);
+    asio::co_spawn(executor_, write_snapshots(), asio::detached);
+}
+
+instance::~instance() = default;
+
+std::array<std::uint16_t, 3> instance::ports() const
+{
+    return {caller_server_->local().port(), peer_server_->local().port(), operator_server_->local().port()};
+}
+
+void instance::stop(std::function<void()> done)
+{
+    if (stopping_)
+        return;
+    stopping_ = true;
+    stopped_ = std::move(done);
+    caller_server_->drain();
+    decisions_.stop(boot_clock::now());
+    act();
+}
+
+void instance::tick(time_point now)
+{
+    decisions_.tick(now);
+    dispatcher_.tick(now);
+    act();
+    const bool idle =
+        caller_server_->active() == 0 && dispatcher_.at_work() == 0 && peer_server_->active() == 0;
+    if (stopping_ && stopped_ && idle && decisions_.stopped())
+        std::exchange(stopped_, nullptr)();
+}
+
+/// Carries out what the coordinator decided.
+void instance::act()
+{
+    for (auto& action : decisions_.take_actions()) {
+        if (auto* send = std::get_if<send_action>(&action)) {
+            if (const auto to = peer_endpoint(decisions_.state(), send->to))
+                channel_->send({to->address(), to->port()}, send->message);
+        }
+        else if (auto* record = std::get_if<append_action>(&action))
+            asio::co_spawn(executor_, append(std::move(record->record)), asio::detached);
+        else if (const auto* revoke = std::get_if<revoke_action>(&action))
+            dispatcher_.revoke(*revoke);
+        else if (const auto* right = std::get_if<dispatcher_action>(&action))
+            right->held ? dispatcher_.held(right->target, right->token) : dispatcher_.lost(right->target);
+        else if (const auto* decision = std::get_if<decision_action>(&action))
+            log_(decision->line);
+    }
+}
+
+void instance::receive(const peer_message& message)
+{
+    const auto now = boot_clock::now();
+    if (const auto* notice = std::get_if<quarantine_notice>(&message))
+        quarantine_.note_crash(notice->fingerprint, notice->crashes, now,
+                               decisions_.state().settings().deployment.quarantine);
+    decisions_.receive(message, now);
+    act();
+}
+
+asio::awaitable<void> instance::append(std::string record)
+{
+    const auto outcome = co_await platform_.append(control_stream, std::move(record));
+    if (const auto* problem = failure(outcome))
+        log_(log_line("append_failed").add("problem", to_string(*problem)).text());
+    measured_.count("appends_total");
+    decisions_.append_finished(boot_clock::now());
+    act();
+}
+
+asio::awaitable<void> instance::follow_log()
+{
+    bool loaded = co_await load_snapshot();
+    while (true) {
+        const epoch from{number(decisions_.state().position()) + 1};
+        auto answer = co_await platform_.read(control_stream, from, log_wait);
+        if (const auto* problem = failure(answer)) {
+            if (std::exchange(platform_up_, false))
+                log_(log_line("platform_away").add("problem", to_string(*problem)).text());
+            if (!decisions_.joined() || decisions_.behind())
+                loaded = co_await load_from_peers() || loaded;
+            co_await sleep_for(log_retry);
+            continue;
+        }
+        platform_up_ = true;
+        platform_read_at_ = boot_clock::now();
+        auto& page = std::get<log_page>(answer);
+        if (page.first > from || !loaded) {
+            loaded = co_await load_snapshot();
+            const bool whole = number(decisions_.state().position()) + 1 >= number(page.first);
+            if (!whole && !co_await load_from_peers()) {
+                log_(log_line("log_gap").add("wanted", from).add("first", page.first).text());
+                co_await sleep_for(log_retry);
+                continue;
+            }
+            loaded = true;
+            continue;
+        }
+        for (const auto& entry : page.entries)
+            decisions_.observe(entry.offset, entry.text, boot_clock::now());
+        if (!page.entries.empty())
+            tick(boot_clock::now());
+    }
+}
+
+/// Restores the furthest complete snapshot that the platform has.
+/// @returns whether the platform answered.
+asio::awaitable<bool> instance::load_snapshot()
+{
+    snapshot_collector collector;
+    epoch from{1};
+    while (true) {
+        auto answer = co_await platform_.read(snapshot_stream, from, milliseconds{0});
+        if (failure(answer) != nullptr)
+            co_return false;
+        const auto& page = std::get<log_page>(answer);
+        if (page.entries.empty())
+            break;
+        for (const auto& entry : page.entries)
+            collector.add(entry.text);
+        from = epoch{number(page.entries.back().offset) + 1};
+    }
+    if (const auto state = collector.newest()) {
+        decisions_.restore(*state, boot_clock::now());
+        act();
+    }
+    co_return true;
+}
+
+/// Takes the state from the furthest of the peers that answer.
+/// @returns whether the position advanced.
+asio::awaitable<bool> instance::load_from_peers()
+{
+    std::vector<tcp_endpoint> peers;
+    for (const auto& text : settings_.peers) {
+        const auto parsed = parse_endpoint(text);
+        if (failure(parsed) == nullptr)
+            peers.push_back(std::get<tcp_endpoint>(parsed));
+    }
+    for (const auto& [session, member] : decisions_.state().sessions()) {
+        const auto address = peer_endpoint(decisions_.state(), session);
+        if (member.description.data_centre == settings_.data_centre && address &&
+            session != decisions_.settings().session)
+            peers.push_back(*address);
+    }
+    bool advanced = false;
+    for (const auto& peer : peers) {
+        const std::string path = "/peer/state?above=" + std::to_string(number(decisions_.state().position()));
+        auto outcome = co_await client_.exchange(peer, make_request(http::verb::get, path),
+                                                 boot_clock::now() + peer_state_limit);
+        const auto* response = std::get_if<http_response>(&outcome);
+        if (response == nullptr || response->result_int() != 200)
+            continue;
+        const auto parsed = parse_json(response->body(), "peer state");
+        if (failure(parsed) != nullptr || !std::get<Json::Value>(parsed).isArray())
+            continue;
+        std::vector<std::string> chunks;
+        for (const auto& chunk : std::get<Json::Value>(parsed))
+            chunks.push_back(chunk.isString() ? chunk.asString() : "");
+        const auto state = cluster_state::from_snapshot(chunks);
+        if (const auto* whole = std::get_if<cluster_state>(&state))
+            advanced = decisions_.restore(*whole, boot_clock::now()) || advanced;
+    }
+    act();
+    co_return advanced;
+}
+
+/// Writes the state again well before the platform drops the records that it rests on.
+asio::awaitable<void> instance::write_snapshots()
+{
+    constexpr std::size_t writers = 3;
+    epoch next{1};
+    while (true) {
+        co_await sleep_for(snapshot_check_interval);
+        const auto rank = decisions_.proposer_rank();
+        if (!decisions_.joined() || rank >= writers || !platform_up_)
+            continue;
+        auto seen = co_await platform_.read(snapshot_stream, next, milliseconds{0});
+        if (failure(seen) != nullptr)
+            continue;
+        for (const auto& entry : std::get<log_page>(seen).entries) {
+            next = epoch{number(entry.offset) + 1};
+            const auto parsed = parse_json(entry.text, snapshot_stream);
+            if (failure(parsed) != nullptr)
+                continue;
+            const auto position = std::get<Json::Value>(parsed)["position"];
+            if (!position.isUInt64() || epoch{position.asUInt64()} < snapshot_position_)
+                continue;
+            snapshot_position_ = epoch{position.asUInt64()};
+            snapshot_at_ = boot_clock::now();
+        }
+        const auto now = boot_clock::now();
+        const auto period = decisions_.state().settings().deployment.retention / snapshots_per_retention;
+        const auto age = now - snapshot_at_;
+        const auto records = number(decisions_.state().position()) - number(snapshot_position_);
+        const bool due = age >= period || (records >= records_per_snapshot && age >= least_snapshot_age);
+        if (!due || age < least_snapshot_age * rank)
+            continue;
+        const auto chunks = decisions_.state().snapshot();
+        const auto position = decisions_.state().position();
+        for (const auto& record : encode_snapshot(chunks, position, decisions_.settings().session)) {
+            const auto written = co_await platform_.append(snapshot_stream, record);
+            if (failure(written) != nullptr)
+                break;
+        }
+        log_(log_line("snapshot").add("position", position).add("chunks", chunks.size()).text());
+    }
+}
+
+asio::awaitable<http_response> instance::serve_peer(http_request request)
+{
+    const auto path = path_of(request);
+    const std::string_view target{request.target().data(), request.target().size()};
+    if (path == "/peer/state") {
+        const std::string above{query_value(target, "above")};
+        if (!above.empty() && std::to_string(number(decisions_.state().position())) == above)
+            co_return make_response(204, "");
+        Json::Value chunks{Json::arrayValue};
+        for (auto& chunk : decisions_.state().snapshot())
+            chunks.append(std::move(chunk));
+        co_return make_response(200, json_text(chunks), "application/json");
+    }
+    if (path == "/peer/marks" && request.method() == http::verb::post) {
+        const auto parsed = parse_json(request.body(), "marks");
+        if (const auto* problem = failure(parsed))
+            co_return make_response(400, to_string(*problem));
+        dispatcher_.keep_marks(std::get<Json::Value>(parsed), boot_clock::now());
+        co_return make_response(200, "{}", "application/json");
+    }
+    if (path == "/peer/marks") {
+        const std::string wanted{query_value(target, "target")};
+        for (std::uint32_t index = 0; index < decisions_.state().targets().size(); ++index) {
+            if (std::to_string(index) == wanted)
+                co_return make_response(200,
+                                        json_text(dispatcher_.marks_of(target_id{index}, boot_clock::now())),
+                                        "application/json");
+        }
+        co_return make_response(404, "no such target\n");
+    }
+    co_return co_await entry_.serve_forwarded(std::move(request));
+}
+
+asio::awaitable<http_response> instance::serve_operator(http_request request)
+{
+    const auto path = path_of(request);
+    const std::string_view target{request.target().data(), request.target().size()};
+    if (path == "/healthz")
+        co_return make_response(200, "ok\n");
+    if (path == "/readyz") {
+        const bool ready = !stopping_ && decisions_.state().version() > 0;
+        co_return make_response(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+    }
+    if (path == "/metrics")
+        co_return make_response(200, measured_.text(), "text/plain; version=0.0.4");
+    if (path == "/status")
+        co_return make_response(200, status(), "application/json");
+    if (path == "/explain")
+        co_return make_response(200, explain(target), "application/json");
+    co_return make_response(404, "unknown path; known: /healthz /readyz /metrics /status /explain\n");
+}
+
+void instance::refresh_gauges()
+{
+    const auto& state = decisions_.state();
+    if (state.version() != seen_version_) {
+        seen_version_ = state.version();
+        configured_at_ = boot_clock::now();
+    }
+    measured_.set("log_position", static_cast<double>(number(state.position())));
+    measured_.set("configuration_version", static_cast<double>(state.version()));
+    measured_.set("platform_up", platform_up_ ? 1 : 0);
+    measured_.set("sessions", static_cast<double>(state.sessions().size()));
+    measured_.set("unreleased_slots", static_cast<double>(state.unreleased().size()));
+    measured_.set("moves_seen_total", static_cast<double>(decisions_.moves_seen()));
+    measured_.set("peer_bytes_sent_total", static_cast<double>(channel_->bytes_sent()));
+    measured_.set("peer_malformed_total", static_cast<double>(channel_->malformed()));
+}
+
+std::string instance::status() const
+{
+    const auto& state = decisions_.state();
+    const auto now = boot_clock::now();
+    Json::Value out;
+    out["instance"] = settings_.name;
+    out["session"] = static_cast<Json::UInt64>(number(decisions_.settings().session));
+    out["position"] = static_cast<Json::UInt64>(number(state.position()));
+    out["platform_up"] = platform_up_;
+    out["joined"] = decisions_.joined();
+    out["configuration"]["version"] = static_cast<Json::UInt64>(state.version());
+    out["configuration"]["age_ms"] = static_cast<Json::Int64>((now - configured_at_) / milliseconds{1});
+    for (const auto& [session, member] : state.sessions()) {
+        Json::Value entry;
+        entry["session"] = static_cast<Json::UInt64>(number(session));
+        entry["instance"] = member.description.instance;
+        entry["data_centre"] = member.description.data_centre;
+        out["sessions"].append(entry);
+    }
+    for (const auto& [name, cell] : state.cells()) {
+        out["cells"][name]["epoch"] = static_cast<Json::UInt64>(number(cell.since));
+        out["cells"][name]["voters"] = static_cast<Json::UInt64>(cell.voters.size());
+        out["cells"][name]["reset_at"] = static_cast<Json::UInt64>(number(cell.reset_at));
+    }
+    std::vector<std::uint64_t> owned(state.targets().size());
+    for (const auto& service : state.services()) {
+        for (const auto& slot : service.slots) {
+            if (slot.owner != no_target)
+                ++owned[number(slot.owner)];
+        }
+    }
+    for (std::uint32_t index = 0; index < state.targets().size(); ++index) {
+        const auto& target = state.targets()[index];
+        Json::Value entry;
+        entry["name"] = target.name;
+        entry["service"] = state.services()[number(target.service)].name;
+        entry["up"] = target.condition == target_condition::up;
+        entry["accepts"] = state.accepts_slots(target_id{index});
+        entry["slots_owned"] = static_cast<Json::UInt64>(owned[index]);
+        entry["dispatcher"] =
+            static_cast<Json::UInt64>(number(decisions_.likely_dispatcher(target_id{index}, now)));
+        if (decisions_.dispatches(target_id{index}, now)) {
+            const auto token = decisions_.token(target_id{index}).value_or(dispatcher_token{});
+            entry["lease"]["voters"] = static_cast<Json::UInt64>(number(token.voter_set));
+            entry["lease"]["term"] = static_cast<Json::UInt64>(number(token.term));
+            entry["lease"]["left_ms"] =
+                static_cast<Json::Int64>((decisions_.lease_until(target_id{index}) - now) / milliseconds{1});
+            const auto [running, waiting] = dispatcher_.usage(target_id{index});
+            entry["running"] = running;
+            entry["waiting"] = static_cast<Json::UInt64>(waiting);
+        }
+        if (const auto load = decisions_.loads().find(target_id{index}); load != decisions_.loads().end())
+            entry["busy_ms_per_s"] = load->second.load;
+        out["targets"].append(entry);
+    }
+    out["unreleased_slots"] = static_cast<Json::UInt64>(state.unreleased().size());
+    out["hot_keys"] = static_cast<Json::UInt64>(state.hot_keys().size());
+    out["moves_seen"] = static_cast<Json::UInt64>(decisions_.moves_seen());
+    for (const auto& [fingerprint, crashes] : quarantine_.list(now)) {
+        Json::Value entry;
+        entry["fingerprint"] = static_cast<Json::UInt64>(fingerprint);
+        entry["crashes"] = crashes;
+        out["quarantined"].append(entry);
+    }
+    return json_text(out) + "\n";
+}
+
+std::string instance::explain(std::string_view query) const
+{
+    const auto& state = decisions_.state();
+    Json::Value out;
+    const auto service = state.find_service(query_value(query, "service"));
+    if (!service) {
+        out["error"] = "service \"" + std::string{query_value(query, "service")} + "\" is not configured";
+        return json_text(out) + "\n";
+    }
+    if (!state.services()[number(*service)].keyed) {
+        out["service"] = state.services()[number(*service)].name;
+        out["keyed"] = false;
+        return json_text(out) + "\n";
+    }
+    const auto key = hash_key(query_value(query, "key"), state.settings().deployment.seed);
+    const auto& owned = state.ownership(*service, key);
+    out["service"] = state.services()[number(*service)].name;
+    out["key_hash"] = static_cast<Json::UInt64>(number(key));
+    out["slot"] = number(state.slot_of(*service, key));
+    out["hot"] = state.hot_keys().contains({*service, key});
+    out["epoch"] = static_cast<Json::UInt64>(number(owned.since));
+    out["released"] = owned.released();
+    if (owned.owner != no_target) {
+        out["owner"] = state.targets()[number(owned.owner)].name;
+        out["cell"] = state.cell_of(owned.owner);
+        out["dispatcher"] =
+            static_cast<Json::UInt64>(number(decisions_.likely_dispatcher(owned.owner, boot_clock::now())));
+    }
+    if (!owned.released())
+        out["previous"] = state.targets()[number(owned.previous)].name;
+    return json_text(out) + "\n";
+}
+
+} // namespace teaseltally
--- /dev/null
+++ b/src/net/target_link.cpp
@@ -0,0 +1,318 @@
+#include <teaseltally/json.hpp>
+#include <teaseltally/log_line.hpp>
+#include <teaseltally/net/target_link.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace teaseltally {
+namespace {
+
+namespace http = boost::beast::http;
+constexpr milliseconds probe_interval{300};
+constexpr milliseconds probe_limit{500};
+constexpr milliseconds grant_lifetime{2000};
+/// Silence after which a target counts as down.
+constexpr milliseconds down_after{1200};
+/// Probes in a row that decide a change of condition.
+constexpr std::uint32_t decisive_probes = 2;
+/// Grants that are asked for ahead of the first request.
+constexpr std::size_t max_grants_ahead = 4096;
+
+std::uint64_t in_milliseconds(microseconds duration)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, duration.count() / 1000));
+}
+
+Json::Value token_json(const dispatcher_token& token)
+{
+    Json::Value pair{Json::arrayValue};
+    pair.append(static_cast<Json::UInt64>(number(token.voter_set)));
+    pair.append(static_cast<Json::UInt64>(number(token.term)));
+    return pair;
+}
+
+/// Ends a ticket with its scope; the end is in doubt unless said otherwise.
+class ticket_guard {
+public:
+    ticket_guard(instance_context& context) : context_(context) {}
+    ~ticket_guard()
+    {
+        if (ticket_)
+            context_.decisions.finish(*ticket_, certain_, boot_clock::now());
+    }
+    ticket_guard(const ticket_guard&) = delete;
+    ticket_guard& operator=(const ticket_guard&) = delete;
+    ticket_guard(ticket_guard&&) = delete;
+    ticket_guard& operator=(ticket_guard&&) = delete;
+
+    void hold(ticket_id ticket) { ticket_ = ticket; }
+    void settle() { certain_ = true; }
+
+private:
+    instance_context& context_;
+    std::optional<ticket_id> ticket_;
+    bool certain_ = false;
+};
+
+} // namespace
+
+std::string item_name(bool hot, std::uint64_t item)
+{
+    return (hot ? "k" : "s") + std::to_string(item);
+}
+
+target_link::target_link(instance_context& context, target_id target, dispatcher_token token,
+                         tcp_endpoint address)
+    : context_(context), target_(target), token_(token), address_(std::move(address)),
+      answered_(boot_clock::now())
+{
+}
+
+void target_link::start()
+{
+    asio::co_spawn(
+        context_.executor, [self = shared_from_this()] { return self->probe_loop(); }, asio::detached);
+}
+
+asio::awaitable<void> target_link::probe_loop()
+{
+    const auto self = shared_from_this();
+    while (!stopped_) {
+        co_await probe();
+        co_await sleep_for(probe_interval);
+    }
+}
+
+/// Converts a time to the target's clock, never later than the target will read it.
+std::uint64_t target_link::target_clock(time_point at) const
+{
+    return clock_ms_ + in_milliseconds(at - clock_read_);
+}
+
+/// Renews what is granted and asks for nothing new.
+asio::awaitable<bool> target_link::probe()
+{
+    std::vector<std::pair<std::string, epoch>> none;
+    co_return co_await renew(std::move(none));
+}
+
+asio::awaitable<bool> target_link::renew(std::vector<std::pair<std::string, epoch>> items)
+{
+    const auto sent = boot_clock::now();
+    Json::Value body;
+    body["token"] = token_json(token_);
+    const bool leased = context_.decisions.dispatches(target_, sent);
+    body["expires_at_ms"] =
+        static_cast<Json::UInt64>(clock_known_ && leased ? target_clock(sent + grant_lifetime) : 0);
+    body["slots"] = Json::Value{Json::arrayValue};
+    for (const auto& [item, since] : items) {
+        Json::Value pair{Json::arrayValue};
+        pair.append(item);
+        pair.append(static_cast<Json::UInt64>(number(since)));
+        body["slots"].append(std::move(pair));
+    }
+    if (clock_known_ && leased)
+        context_.decisions.granted_until(target_, sent + grant_lifetime);
+    auto outcome = co_await context_.targets.exchange(
+        address_, make_request(http::verb::post, "/tt/grants", json_text(body)), sent + probe_limit);
+    if (const auto* failed = std::get_if<http_failure>(&outcome)) {
+        note_probe(false, !failed->sent && !failed->timed_out);
+        co_return false;
+    }
+    const auto& response = std::get<http_response>(outcome);
+    const auto parsed = parse_json(response.body(), "target");
+    if (failure(parsed) != nullptr) {
+        note_probe(false, false);
+        co_return false;
+    }
+    json_reader reader(std::get<Json::Value>(parsed), "target");
+    clock_ms_ = reader.unsigned_at("clock_ms");
+    clock_read_ = boot_clock::now();
+    const bool first = !clock_known_;
+    clock_known_ = reader.fault() == nullptr;
+    note_probe(clock_known_, false);
+    if (response.result_int() != 200)
+        co_return false;
+    if (std::get<Json::Value>(parsed)["granted"].asUInt64() < granted_.size())
+        granted_.clear();
+    for (auto& [item, since] : items)
+        granted_[item] = since;
+    co_return clock_known_ && !first;
+}
+
+asio::awaitable<bool> target_link::grant(const work_order& order)
+{
+    const auto& state = context_.decisions.state();
+    if (!clock_known_)
+        co_await probe();
+    if (!state.services()[number(order.service)].keyed)
+        co_return clock_known_;
+    const bool hot = state.hot_keys().contains({order.service, order.key});
+    const slot_id slot = state.slot_of(order.service, order.key);
+    const std::string item = item_name(hot, hot ? number(order.key) : number(slot));
+    const epoch since = state.ownership(order.service, order.key).since;
+    if (const auto known = granted_.find(item); known != granted_.end() && known->second == since)
+        co_return clock_known_;
+    std::vector<std::pair<std::string, epoch>> items{{item, since}};
+    const auto& slots = state.services()[number(order.service)].slots;
+    for (std::size_t index = 0; index < slots.size() && items.size() < max_grants_ahead; ++index) {
+        const std::string name = item_name(false, index);
+        const auto known = granted_.find(name);
+        if (slots[index].owner == target_ && slots[index].released() && name != item &&
+            (known == granted_.end() || known->second != slots[index].since))
+            items.emplace_back(name, slots[index].since);
+    }
+    co_return co_await renew(std::move(items));
+}
+
+void target_link::note_probe(bool answered, bool refused)
+{
+    const auto now = boot_clock::now();
+    if (answered) {
+        answered_ = now;
+        failures_ = 0;
+        ++successes_;
+    }
+    else {
+        successes_ = 0;
+        ++failures_;
+        if (refused)
+            granted_.clear();
+    }
+    const bool down = failures_ >= decisive_probes && (refused || now >= answered_ + down_after);
+    if (up_ && down)
+        up_ = false;
+    else if (!up_ && successes_ >= decisive_probes)
+        up_ = true;
+    context_.decisions.observe_target(target_, up_ ? target_condition::up : target_condition::down);
+}
+
+http_request target_link::prepare(const work_order& order, const dispatch_permit& permit) const
+{
+    http_request request = order.request;
+    request.set("tt-request-id", order.request_id);
+    request.set("tt-token",
+                std::to_string(number(token_.voter_set)) + "." + std::to_string(number(token_.term)));
+    request.set("tt-deadline-at", std::to_string(target_clock(order.deadline)));
+    if (context_.decisions.state().services()[number(order.service)].keyed) {
+        request.set("tt-item",
+                    item_name(permit.hot, permit.hot ? number(order.key) : number(permit.slot.slot)));
+        request.set("tt-epoch", std::to_string(number(permit.owner_since)));
+    }
+    return request;
+}
+
+asio::awaitable<work_result> target_link::run(const work_order& order)
+{
+    const auto self = shared_from_this();
+    const auto* settings = context_.decisions.state().settings_of(target_);
+    if (settings == nullptr)
+        co_return work_result{result_code::not_run_no_owner, {}, {}, {}};
+    if (!up_)
+        co_return work_result{result_code::not_run_unreachable, {}, {}, probe_interval};
+    if (!clock_known_ || settings->checks_grants) {
+        if (!co_await grant(order))
+            co_return work_result{result_code::not_run_unreachable, {}, {}, probe_interval};
+    }
+    const dispatch_request wanted{target_, order.service, order.key, order.relied_on, order.deadline};
+    if (const auto refusal = context_.decisions.check(wanted, boot_clock::now()))
+        co_return work_result{refusal->code, {}, refusal->holder, {}};
+
+    ticket_guard guard(context_);
+    std::optional<dispatch_refusal> refusal;
+    dispatch_permit permit;
+    permit.slot = {order.service, context_.decisions.state().slot_of(order.service, order.key)};
+    permit.owner_since = context_.decisions.state().services()[number(order.service)].keyed
+                             ? context_.decisions.state().ownership(order.service, order.key).since
+                             : no_epoch;
+    permit.hot = context_.decisions.state().hot_keys().contains({order.service, order.key});
+    const auto last_check = [&] {
+        auto verdict = context_.decisions.begin(wanted, boot_clock::now());
+        if (const auto* denied = std::get_if<dispatch_refusal>(&verdict)) {
+            refusal = *denied;
+            return false;
+        }
+        const auto& given = std::get<dispatch_permit>(verdict);
+        guard.hold(given.ticket);
+        if (given.owner_since != permit.owner_since || given.hot != permit.hot || given.token != token_) {
+            refusal = dispatch_refusal{result_code::not_run_moved, no_session};
+            guard.settle();
+            return false;
+        }
+        return true;
+    };
+    auto outcome =
+        co_await context_.targets.exchange(address_, prepare(order, permit), order.deadline, last_check);
+    if (refusal)
+        co_return work_result{refusal->code, {}, refusal->holder, {}};
+    if (auto* failed = std::get_if<http_failure>(&outcome)) {
+        if (!failed->sent) {
+            guard.settle();
+            note_probe(false, !failed->timed_out);
+            co_return work_result{result_code::not_run_unreachable, {}, {}, probe_interval};
+        }
+        if (!failed->timed_out)
+            co_await note_crash(order.fingerprint);
+        co_return work_result{failed->timed_out ? result_code::unknown_deadline
+                                                : result_code::unknown_connection_lost,
+                              {},
+                              {},
+                              {}};
+    }
+    guard.settle();
+    auto& response = std::get<http_response>(outcome);
+    answered_ = boot_clock::now();
+    failures_ = 0;
+    if (response.find("tt-refused") != response.end()) {
+        if (response["tt-refused"] == "grant")
+            granted_.clear();
+        co_return work_result{result_code::not_run_target_refused, {}, {}, milliseconds{10}};
+    }
+    co_return work_result{result_code::done, std::move(response), {}, {}};
+}
+
+/// Counts a crash if the target's process is gone right after it dropped a request.
+asio::awaitable<void> target_link::note_crash(std::uint64_t fingerprint)
+{
+    auto outcome = co_await context_.targets.exchange(
+        address_, make_request(http::verb::post, "/tt/grants", "{}"), boot_clock::now() + probe_limit);
+    const auto* failed = std::get_if<http_failure>(&outcome);
+    if (failed == nullptr || failed->sent || failed->timed_out)
+        co_return;
+    note_probe(false, true);
+    const auto& deployment = context_.decisions.state().settings().deployment;
+    const auto crashes =
+        context_.quarantine.note_crash(fingerprint, 1, boot_clock::now(), deployment.quarantine);
+    context_.log(log_line("crash").add("fingerprint", fingerprint).add("crashes", crashes).text());
+    context_.decisions.tell_all(quarantine_notice{context_.decisions.settings().session, fingerprint, 1});
+    context_.act();
+}
+
+asio::awaitable<void> target_link::revoke(std::vector<release_entry> entries)
+{
+    const auto self = shared_from_this();
+    Json::Value body;
+    body["token"] = token_json(token_);
+    body["slots"] = Json::Value{Json::arrayValue};
+    for (const auto& entry : entries) {
+        Json::Value pair{Json::arrayValue};
+        pair.append(item_name(entry.hot, entry.item));
+        pair.append(static_cast<Json::UInt64>(number(entry.since)));
+        body["slots"].append(std::move(pair));
+        granted_.erase(item_name(entry.hot, entry.item));
+    }
+    auto outcome = co_await context_.targets.exchange(
+        address_, make_request(http::verb::post, "/tt/revoke", json_text(body)),
+        boot_clock::now() + probe_limit);
+    const auto* response = std::get_if<http_response>(&outcome);
+    if (response == nullptr || response->result_int() != 200)
+        co_return;
+    context_.decisions.revoked(target_, entries, boot_clock::now());
+    context_.decisions.tick(boot_clock::now());
+    context_.act();
+}
+
+} // namespace teaseltally
--- /dev/null
+++ b/src/request_policy.cpp
@@ -0,0 +1,92 @@
+#include <teaseltally/request_policy.hpp>
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace teaseltally {
+namespace {
+
+constexpr double most_tokens = 10.0;
+constexpr double hundred = 100.0;
+constexpr std::size_t max_fingerprints = 4096;
+/// Cost of a target in another data centre, in mean service times.
+constexpr double far_cost = 0.5;
+
+double cost_of(const target_view& view)
+{
+    const double load = (view.outstanding + 1.0) / std::max(1U, view.slots);
+    const double latency = std::max<double>(1.0, static_cast<double>(view.latency.count()));
+    return (load + view.reported + (view.near ? 0.0 : far_cost)) * latency + (view.tried ? 1e12 : 0.0);
+}
+
+} // namespace
+
+void retry_budget::earn() noexcept
+{
+    tokens_ = std::min(most_tokens, tokens_ + percent_ / hundred);
+}
+
+bool retry_budget::spend() noexcept
+{
+    if (tokens_ < 1.0)
+        return false;
+    tokens_ -= 1.0;
+    return true;
+}
+
+std::uint32_t quarantine_table::note_crash(std::uint64_t fingerprint, std::uint32_t crashes, time_point now,
+                                           milliseconds lifetime)
+{
+    std::erase_if(entries_, [&](const auto& item) { return item.second.expires <= now; });
+    if (!entries_.contains(fingerprint) && entries_.size() >= max_fingerprints) {
+        const auto oldest =
+            std::ranges::min_element(entries_, {}, [](const auto& item) { return item.second.expires; });
+        entries_.erase(oldest);
+    }
+    entry& known = entries_[fingerprint];
+    known.crashes += crashes;
+    known.expires = now + lifetime;
+    return known.crashes;
+}
+
+bool quarantine_table::is_quarantined(std::uint64_t fingerprint, std::uint32_t limit, time_point now) const
+{
+    const auto found = entries_.find(fingerprint);
+    return found != entries_.end() && found->second.expires > now && found->second.crashes >= limit;
+}
+
+std::vector<std::pair<std::uint64_t, std::uint32_t>> quarantine_table::list(time_point now) const
+{
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> out;
+    for (const auto& [fingerprint, entry] : entries_) {
+        if (entry.expires > now)
+            out.emplace_back(fingerprint, entry.crashes);
+    }
+    return out;
+}
+
+std::uint64_t fingerprint_of(std::string_view method, std::string_view path, std::string_view body)
+{
+    std::uint64_t hash = XXH64(method.data(), method.size(), 0);
+    hash = XXH64(path.data(), path.size(), hash);
+    return XXH64(body.data(), body.size(), hash);
+}
+
+std::size_t choose_target(std::span<const target_view> targets, std::uint64_t random)
+{
+    if (targets.empty())
+        return 0;
+    const std::size_t first = (random & 0xffff'ffffU) % targets.size();
+    if (targets.size() == 1)
+        return first;
+    std::size_t second = (random >> 32U) % (targets.size() - 1);
+    second += second >= first ? 1 : 0;
+    const bool usable = !targets[first].tried || !targets[second].tried;
+    if (!usable) {
+        const auto least = std::ranges::min_element(targets, {}, cost_of);
+        return static_cast<std::size_t>(least - targets.begin());
+    }
+    return cost_of(targets[first]) <= cost_of(targets[second]) ? first : second;
+}
+
+} // namespace teaseltally
--- /dev/null
+++ b/src/snapshot.cpp
@@ -0,0 +1,276 @@
+#include <teaseltally/cluster_state.hpp>
+#include <teaseltally/json.hpp>
+
+#include <algorithm>
+
+namespace teaseltally {
+namespace {
+
+constexpr std::size_t slots_per_chunk = 4096;
+constexpr std::size_t max_slots_per_service = 1'048'576;
+
+template <typename Id>
+Json::Value id_json(Id id)
+{
+    return Json::Value{static_cast<Json::UInt64>(number(id))};
+}
+
+Json::Value row(std::initializer_list<Json::Value> columns)
+{
+    Json::Value out{Json::arrayValue};
+    for (const auto& column : columns)
+        out.append(column);
+    return out;
+}
+
+} // namespace
+
+/// Encodes a state as snapshot chunks.
+class snapshot_writer {
+public:
+    explicit snapshot_writer(const cluster_state& state) : state_(state) {}
+
+    std::vector<std::string> chunks()
+    {
+        std::vector<std::string> out{json_text(head())};
+        for (std::size_t service = 0; service < state_.services_.size(); ++service) {
+            const auto& slots = state_.services_[service].slots;
+            for (std::size_t first = 0; first < slots.size(); first += slots_per_chunk)
+                out.push_back(
+                    json_text(slot_rows(service, first, std::min(first + slots_per_chunk, slots.size()))));
+        }
+        return out;
+    }
+
+private:
+    [[nodiscard]] Json::Value head() const
+    {
+        Json::Value out;
+        out["position"] = id_json(state_.position_);
+        out["version"] = static_cast<Json::UInt64>(state_.version_);
+        out["configured_at"] = id_json(state_.configured_at_);
+        out["base"] = state_.documents_.base;
+        out["overlays"] = Json::Value{Json::objectValue};
+        for (const auto& [file, text] : state_.documents_.overlays)
+            out["overlays"][file] = text;
+        out["sessions"] = sessions();
+        out["cells"] = cells();
+        out["services"] = services();
+        out["targets"] = targets();
+        out["hot_keys"] = hot_keys();
+        out["yields"] = Json::Value{Json::arrayValue};
+        for (const auto& [place, at] : state_.yields_)
+            out["yields"].append(row({place.first, id_json(place.second), id_json(at)}));
+        out["sequences"] = Json::Value{Json::arrayValue};
+        for (const auto& [session, last] : state_.sequences_)
+            out["sequences"].append(
+                row({id_json(session), static_cast<Json::UInt64>(last.first), id_json(last.second)}));
+        return out;
+    }
+
+    [[nodiscard]] Json::Value sessions() const
+    {
+        Json::Value out{Json::arrayValue};
+        for (const auto& [id, session] : state_.sessions_) {
+            const auto& join = session.description;
+            out.append(row({id_json(id), id_json(session.since), join.instance, join.data_centre, join.cell,
+                            join.address, join.peer_port}));
+        }
+        return out;
+    }
+
+    [[nodiscard]] Json::Value cells() const
+    {
+        Json::Value out{Json::arrayValue};
+        for (const auto& [name, cell] : state_.cells_) {
+            Json::Value voters{Json::arrayValue};
+            for (const session_id voter : cell.voters)
+                voters.append(id_json(voter));
+            out.append(row({name, id_json(cell.since), id_json(cell.reset_at), id_json(cell.beat_at),
+                            id_json(cell.challenged_at), voters}));
+        }
+        return out;
+    }
+
+    [[nodiscard]] Json::Value services() const
+    {
+        Json::Value out{Json::arrayValue};
+        for (const auto& service : state_.services_)
+            out.append(row({service.name, service.keyed, static_cast<Json::UInt64>(service.slots.size())}));
+        return out;
+    }
+
+    [[nodiscard]] Json::Value targets() const
+    {
+        Json::Value out{Json::arrayValue};
+        for (const auto& target : state_.targets_)
+            out.append(
+                row({target.name, id_json(target.service), target.data_centre, id_json(target.reported_at),
+                     target.condition == target_condition::up, target.configured, target.lost}));
+        return out;
+    }
+
+    [[nodiscard]] Json::Value hot_keys() const
+    {
+        Json::Value out{Json::arrayValue};
+        for (const auto& [key, slot] : state_.hot_keys_)
+            out.append(row({id_json(key.service), id_json(key.key), id_json(slot.since), id_json(slot.owner),
+                            id_json(slot.previous)}));
+        return out;
+    }
+
+    [[nodiscard]] Json::Value slot_rows(std::size_t service, std::size_t first, std::size_t last) const
+    {
+        Json::Value out;
+        out["service"] = static_cast<Json::UInt64>(service);
+        out["first"] = static_cast<Json::UInt64>(first);
+        out["slots"] = Json::Value{Json::arrayValue};
+        for (std::size_t index = first; index < last; ++index) {
+            const auto& slot = state_.services_[service].slots[index];
+            out["slots"].append(id_json(slot.since));
+            out["slots"].append(id_json(slot.owner));
+            out["slots"].append(id_json(slot.previous));
+        }
+        return out;
+    }
+
+    const cluster_state& state_;
+};
+
+/// Decodes snapshot chunks; conversions that fail throw `Json::Exception`.
+class snapshot_reader {
+public:
+    result<cluster_state> read(std::span<const std::string> chunks)
+    {
+        if (chunks.empty())
+            return error{result_code::message_malformed, "snapshot has no chunks", "snapshot"};
+        try {
+            for (std::size_t index = 0; index < chunks.size(); ++index) {
+                auto parsed = parse_json(chunks[index], "snapshot chunk " + std::to_string(index));
+                if (const auto* problem = failure(parsed))
+                    return *problem;
+                const auto& value = std::get<Json::Value>(parsed);
+                if (index == 0)
+                    read_head(value);
+                else if (!read_slots(value))
+                    return error{result_code::message_malformed, "slots are out of range",
+                                 "snapshot chunk " + std::to_string(index)};
+            }
+        }
+        catch (const Json::Exception& problem) {
+            return error{result_code::message_malformed, problem.what(), "snapshot"};
+        }
+        if (slots_read_ != slots_expected_)
+            return error{result_code::message_malformed, "slots are missing", "snapshot"};
+        return std::move(state_);
+    }
+
+private:
+    void read_head(const Json::Value& head)
+    {
+        state_.position_ = epoch{head["position"].asUInt64()};
+        state_.version_ = head["version"].asUInt64();
+        state_.configured_at_ = epoch{head["configured_at"].asUInt64()};
+        state_.documents_.base = head["base"].asString();
+        for (const auto& file : head["overlays"].getMemberNames())
+            state_.documents_.overlays[file] = head["overlays"][file].asString();
+        if (state_.version_ > 0) {
+            auto parsed = parse_configuration(state_.documents_);
+            if (auto* accepted = std::get_if<configuration>(&parsed))
+                state_.settings_ = std::move(*accepted);
+            else
+                throw Json::RuntimeError("configuration is not valid");
+        }
+        read_members(head);
+        read_tables(head);
+        state_.index_settings();
+    }
+
+    void read_members(const Json::Value& head)
+    {
+        for (const auto& item : head["sessions"])
+            state_.sessions_[session_id{item[0U].asUInt64()}] = {
+                {item[2U].asString(), item[3U].asString(), item[4U].asUInt(), item[5U].asString(),
+                 static_cast<std::uint16_t>(item[6U].asUInt())},
+                epoch{item[1U].asUInt64()}};
+        for (const auto& item : head["cells"]) {
+            auto& cell = state_.cells_[item[0U].asString()];
+            cell.since = epoch{item[1U].asUInt64()};
+            cell.reset_at = epoch{item[2U].asUInt64()};
+            cell.beat_at = epoch{item[3U].asUInt64()};
+            cell.challenged_at = epoch{item[4U].asUInt64()};
+            for (const auto& voter : item[5U])
+                cell.voters.push_back(session_id{voter.asUInt64()});
+        }
+        for (const auto& item : head["sequences"])
+            state_.sequences_[session_id{item[0U].asUInt64()}] = {item[1U].asUInt64(),
+                                                                  epoch{item[2U].asUInt64()}};
+    }
+
+    void read_tables(const Json::Value& head)
+    {
+        for (const auto& item : head["services"]) {
+            state_.services_.push_back({item[0U].asString(), item[1U].asBool(), {}});
+            if (item[2U].asUInt() > max_slots_per_service)
+                throw Json::RuntimeError("service has too many slots");
+            state_.services_.back().slots.resize(item[2U].asUInt());
+            slots_expected_ += item[2U].asUInt();
+        }
+        for (const auto& item : head["targets"])
+            state_.targets_.push_back({item[0U].asString(), service_id{item[1U].asUInt()},
+                                       item[2U].asString(), epoch{item[3U].asUInt64()},
+                                       item[4U].asBool() ? target_condition::up : target_condition::down,
+                                       item[5U].asBool(), item[6U].asBool()});
+        for (const auto& item : head["hot_keys"])
+            state_.hot_keys_[{service_id{item[0U].asUInt()}, key_hash{item[1U].asUInt64()}}] = {
+                epoch{item[2U].asUInt64()}, target_id{item[3U].asUInt()}, target_id{item[4U].asUInt()}};
+        for (const auto& item : head["yields"])
+            state_.yields_[{item[0U].asString(), service_id{item[1U].asUInt()}}] = epoch{item[2U].asUInt64()};
+    }
+
+    bool read_slots(const Json::Value& chunk)
+    {
+        const auto service = chunk["service"].asUInt64();
+        const auto first = chunk["first"].asUInt64();
+        const auto& columns = chunk["slots"];
+        if (service >= state_.services_.size() || columns.size() % 3 != 0)
+            return false;
+        auto& slots = state_.services_[service].slots;
+        const std::size_t count = columns.size() / 3;
+        if (first > slots.size() || count > slots.size() - first)
+            return false;
+        for (Json::ArrayIndex index = 0; index < count; ++index) {
+            slot_state& slot = slots[first + index];
+            slot = {epoch{columns[3 * index].asUInt64()}, target_id{columns[3 * index + 1].asUInt()},
+                    target_id{columns[3 * index + 2].asUInt()}};
+            if (!known(slot.owner) || !known(slot.previous))
+                return false;
+            if (!slot.released())
+                state_.unreleased_.insert({service_id{static_cast<std::uint32_t>(service)},
+                                           slot_id{static_cast<std::uint32_t>(first + index)}});
+        }
+        slots_read_ += count;
+        return true;
+    }
+
+    [[nodiscard]] bool known(target_id target) const
+    {
+        return target == no_target || number(target) < state_.targets_.size();
+    }
+
+    cluster_state state_;
+    std::size_t slots_expected_ = 0;
+    std::size_t slots_read_ = 0;
+};
+
+std::vector<std::string> cluster_state::snapshot() const
+{
+    return snapshot_writer{*this}.chunks();
+}
+
+result<cluster_state> cluster_state::from_snapshot(std::span<const std::string> chunks)
+{
+    return snapshot_reader{}.read(chunks);
+}
+
+} // namespace teaseltally
--- /dev/null
+++ b/src/snapshot_collector.cpp
@@ -0,0 +1,59 @@
+#include <teaseltally/json.hpp>
+#include <teaseltally/snapshot.hpp>
+
+#include <algorithm>
+
+namespace teaseltally {
+namespace {
+
+constexpr std::uint64_t max_chunks = 65'536;
+
+} // namespace
+
+std::vector<std::string> encode_snapshot(std::span<const std::string> chunks, epoch position,
+                                         session_id writer)
+{
+    std::vector<std::string> records;
+    for (std::size_t index = 0; index < chunks.size(); ++index) {
+        Json::Value record;
+        record["position"] = static_cast<Json::UInt64>(number(position));
+        record["writer"] = static_cast<Json::UInt64>(number(writer));
+        record["index"] = static_cast<Json::UInt64>(index);
+        record["count"] = static_cast<Json::UInt64>(chunks.size());
+        record["text"] = chunks[index];
+        records.push_back(json_text(record));
+    }
+    return records;
+}
+
+void snapshot_collector::add(std::string_view record)
+{
+    const auto parsed = parse_json(record, "snapshots");
+    if (failure(parsed) != nullptr)
+        return;
+    json_reader reader(std::get<Json::Value>(parsed), "snapshots");
+    const auto position = reader.unsigned_at("position");
+    const auto writer = reader.unsigned_at("writer");
+    const auto index = reader.unsigned_at("index");
+    const auto count = reader.unsigned_at("count");
+    auto text = reader.text_at("text");
+    if (reader.fault() != nullptr || count == 0 || count > max_chunks || index >= count)
+        return;
+    auto& chunks = sets_[{position, writer}];
+    chunks.resize(count);
+    chunks[index] = std::move(text);
+}
+
+std::optional<cluster_state> snapshot_collector::newest() const
+{
+    for (auto set = sets_.rbegin(); set != sets_.rend(); ++set) {
+        if (std::ranges::any_of(set->second, &std::string::empty))
+            continue;
+        auto state = cluster_state::from_snapshot(set->second);
+        if (auto* whole = std::get_if<cluster_state>(&state))
+            return std::move(*whole);
+    }
+    return std::nullopt;
+}
+
+} // namespace teaseltally
--- /dev/null
+++ b/standins/standin_platform.cpp
@@ -0,0 +1,205 @@
+// Stands in for the platform: a log of streams with offsets and limited retention, a lagging instance
+// list, and faults that `POST /faults` switches.
+
+#include <teaseltally/json.hpp>
+#include <teaseltally/net/http.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <deque>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_int32(port, 0, "port to listen on; 0 takes one from the system");
+DEFINE_string(port_file, "", "file to write the port to");
+DEFINE_uint64(retention_records, 1'000'000, "records that a stream keeps");
+DEFINE_uint64(appends_per_second, 500, "appends a second that are accepted in all");
+DEFINE_int32(list_lag_ms, 3000, "time by which the instance list lags");
+
+namespace {
+
+using namespace teaseltally;
+namespace http = boost::beast::http;
+
+constexpr std::size_t page_records = 256;
+constexpr std::size_t page_bytes = 1U << 20U;
+
+/// Faults that are switched on.
+struct fault_switches {
+    bool outage = false;
+    milliseconds delay{0};
+    std::uint64_t lose_answers = 0;
+};
+
+/// One stream with the records that it still has.
+struct log_stream {
+    std::uint64_t first = 1;
+    std::deque<std::string> records;
+    [[nodiscard]] std::uint64_t next() const { return first + records.size(); }
+};
+
+/// One entry of the instance list with the time from which it is shown.
+struct list_entry {
+    Json::Value shown;
+    Json::Value latest;
+    time_point changed{};
+};
+
+class platform {
+public:
+    explicit platform(asio::any_io_executor executor) : news_(executor, asio::steady_timer::time_point::max())
+    {
+    }
+
+    asio::awaitable<http_response> serve(http_request request)
+    {
+        const std::string target{request.target()};
+        if (target == "/faults")
+            co_return set_faults(request.body());
+        if (target == "/statistics")
+            co_return make_response(200, "{\"appends\":" + std::to_string(appends_) + "}");
+        if (faults_.delay.count() > 0)
+            co_await sleep_for(faults_.delay);
+        if (faults_.outage)
+            co_return make_response(503, "outage\n");
+        if (target.starts_with("/instances"))
+            co_return serve_list(request, target);
+        if (!target.starts_with("/streams/"))
+            co_return make_response(404, "unknown path\n");
+        const std::string path = target.substr(0, target.find('?'));
+        const std::string name = path.substr(path.rfind('/') + 1);
+        if (request.method() == http::verb::post)
+            co_return append(name, std::move(request.body()));
+        co_return co_await read(name, value_of(target, "from="), milliseconds{value_of(target, "wait_ms=")});
+    }
+
+private:
+    static std::uint64_t value_of(const std::string& target, const std::string& name)
+    {
+        const auto at = target.find(name);
+        return at == std::string::npos ? 0 : std::strtoull(target.c_str() + at + name.size(), nullptr, 10);
+    }
+
+    http_response set_faults(const std::string& body)
+    {
+        const auto parsed = parse_json(body, "faults");
+        if (const auto* problem = failure(parsed))
+            return make_response(400, to_string(*problem));
+        const auto& value = std::get<Json::Value>(parsed);
+        faults_.outage = value.get("outage", faults_.outage).asBool();
+        faults_.delay = milliseconds{value.get("delay_ms", Json::Int64(faults_.delay.count())).asInt64()};
+        faults_.lose_answers = value.get("lose_answers", Json::UInt64(faults_.lose_answers)).asUInt64();
+        news_.cancel();
+        return make_response(200, "{}");
+    }
+
+    http_response append(const std::string& name, std::string text)
+    {
+        const auto second = boot_clock::now().time_since_epoch() / std::chrono::seconds{1};
+        if (second != std::exchange(append_second_, second))
+            appends_this_second_ = 0;
+        if (++appends_this_second_ > FLAGS_appends_per_second)
+            return make_response(429, "too many appends\n");
+        auto& stream = streams_[name];
+        stream.records.push_back(std::move(text));
+        ++appends_;
+        const std::uint64_t offset = stream.next() - 1;
+        if (stream.records.size() > FLAGS_retention_records) {
+            stream.records.pop_front();
+            ++stream.first;
+        }
+        news_.cancel();
+        if (faults_.lose_answers > 0) {
+            --faults_.lose_answers;
+            return make_response(500, "answer lost\n");
+        }
+        return make_response(200, "{\"offset\":" + std::to_string(offset) + "}", "application/json");
+    }
+
+    asio::awaitable<http_response> read(std::string name, std::uint64_t from, milliseconds wait)
+    {
+        const auto until = boot_clock::now() + wait;
+        while (streams_[name].next() <= from && boot_clock::now() < until && !faults_.outage) {
+            asio::steady_timer limit(news_.get_executor(), until - boot_clock::now());
+            limit.async_wait([this](boost::system::error_code failed) {
+                if (!failed)
+                    news_.cancel();
+            });
+            co_await news_.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+        if (faults_.outage)
+            co_return make_response(503, "outage\n");
+        const auto& stream = streams_[name];
+        Json::Value page;
+        page["first"] = static_cast<Json::UInt64>(stream.first);
+        page["next"] = static_cast<Json::UInt64>(stream.next());
+        page["records"] = Json::Value{Json::arrayValue};
+        std::size_t bytes = 0;
+        for (std::uint64_t offset = std::max(from, stream.first);
+             offset < stream.next() && page["records"].size() < page_records && bytes < page_bytes;
+             ++offset) {
+            const auto& text = stream.records[offset - stream.first];
+            bytes += text.size();
+            Json::Value row{Json::arrayValue};
+            row.append(static_cast<Json::UInt64>(offset));
+            row.append(text);
+            page["records"].append(std::move(row));
+        }
+        co_return make_response(200, json_text(page), "application/json");
+    }
+
+    http_response serve_list(const http_request& request, const std::string& target)
+    {
+        const auto now = boot_clock::now();
+        const milliseconds lag{FLAGS_list_lag_ms};
+        if (request.method() == http::verb::put) {
+            auto parsed = parse_json(request.body(), "instance");
+            if (const auto* problem = failure(parsed))
+                return make_response(400, to_string(*problem));
+            auto& entry = list_[target.substr(target.rfind('/') + 1)];
+            if (now >= entry.changed + lag)
+                entry.shown = entry.latest;
+            entry.latest = std::get<Json::Value>(parsed);
+            entry.changed = now;
+            return make_response(200, "{}");
+        }
+        Json::Value out;
+        out["instances"] = Json::Value{Json::arrayValue};
+        for (const auto& [name, entry] : list_) {
+            const auto& shown = now >= entry.changed + lag ? entry.latest : entry.shown;
+            if (!shown.isNull())
+                out["instances"].append(shown);
+        }
+        return make_response(200, json_text(out), "application/json");
+    }
+
+    asio::steady_timer news_;
+    fault_switches faults_;
+    std::map<std::string, log_stream> streams_;
+    std::map<std::string, list_entry> list_;
+    std::int64_t append_second_ = 0;
+    std::uint64_t appends_this_second_ = 0;
+    std::uint64_t appends_ = 0;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    asio::io_context io(1);
+    platform service(io.get_executor());
+    http_server_limits limits;
+    limits.body_bytes = 16U << 20U;
+    http_server server(io.get_executor(),
+                       {asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(FLAGS_port)}, limits,
+                       [&](http_request request) { return service.serve(std::move(request)); });
+    if (!FLAGS_port_file.empty())
+        std::ofstream(FLAGS_port_file) << server.local().port() << "\n";
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&](boost::system::error_code, int) { io.stop(); });
+    io.run();
+}
