Check histories of concurrent runs and the loss of each guard

Cause: the ownership protocol rests on several guards, and nothing showed that each of them is needed or that the checkers would notice its loss.

Change: several coordinators over a fake log and network in virtual time, with seeded loss, duplication, pauses, partitions, outages, stops and racing operators; checkers for overlapping executions, falling epochs, two dispatchers of a target, states that differ and positions that go back; a table that switches off one guard at a time. A hot key that went home got the lower token of its slot; the slot now gets a new epoch then.

--- a/include/teaseltally/cluster_state.hpp
+++ b/include/teaseltally/cluster_state.hpp
@@ -83,6 +83,14 @@
     std::size_t applied = 0;
 };
 
+/// Parts of the fold that tests switch off one at a time.
+struct fold_guards {
+    bool base_epoch = true;
+    bool acknowledgement = true;
+    bool repeats = true;
+    bool moving = true;
+};
+
 /// Folds control records; equal prefixes of the stream give equal states.
 ///
 /// @code
@@ -92,6 +100,9 @@
 /// @endcode
 class cluster_state {
 public:
+    /// Switches parts off; for tests only.
+    void set_guards(const fold_guards& guards) noexcept { guards_ = guards; }
+
     /// Applies the record at an offset of the control stream.
     /// @param at offset of the record, counted from one; a lower offset than any before is ignored.
     /// @param record the record.
@@ -156,6 +167,7 @@
     friend class snapshot_writer;
     friend class snapshot_reader;
 
+    fold_guards guards_;
     epoch position_{};
     std::uint64_t version_ = 0;
     epoch configured_at_{};
--- a/include/teaseltally/coordinator.hpp
+++ b/include/teaseltally/coordinator.hpp
@@ -23,6 +23,7 @@
 /// Parts of the ownership protocol that tests switch off one at a time.
 struct coordinator_guards {
     lease_guards lease;
+    fold_guards fold;
     bool lease_at_dispatch = true;
     bool released_before_serving = true;
     bool idle_before_release = true;
@@ -199,6 +200,8 @@
     // Ownership: releases, evacuation and placement.
     void release_idle(time_point now);
     [[nodiscard]] bool may_release(target_id previous, epoch since, time_point now) const;
+    [[nodiscard]] bool majority_knows(epoch since) const;
+    void hasten_release(target_id previous, epoch since, time_point now);
     [[nodiscard]] bool fenced(target_id previous, const release_entry& entry, time_point now);
     [[nodiscard]] std::optional<record_body> release_proposal();
     [[nodiscard]] std::optional<record_body> target_proposal(time_point now) const;
--- a/src/cluster_state.cpp
+++ b/src/cluster_state.cpp
@@ -54,7 +54,7 @@
             return {result_code::rejected_unknown_name};
         if (change.add && present.voters.size() >= max_voters)
             return {result_code::rejected_limit};
-        if (!acknowledged(present, change.acknowledged))
+        if (state_.guards_.acknowledgement && !acknowledged(present, change.acknowledged))
             return {result_code::rejected_no_majority};
         cell_state& cell = state_.cells_[change.cell];
         cell.since = at_;
@@ -340,9 +340,9 @@
         if (number(entry.slot) >= slots.size() || !serves(entry.to, service))
             return result_code::rejected_unknown_name;
         slot_state& slot = slots[number(entry.slot)];
-        if (slot.since != entry.base || slot.owner == entry.to)
+        if ((state_.guards_.base_epoch && slot.since != entry.base) || slot.owner == entry.to)
             return result_code::rejected_stale_base;
-        if (!slot.released())
+        if (state_.guards_.moving && !slot.released())
             return result_code::rejected_moving;
         slot = {at_, entry.to, owner_to_wait_for(slot.owner)};
         if (!slot.released())
@@ -350,7 +350,8 @@
         return result_code::ok;
     }
 
-    /// Removes the exception of a key that is back with the owner of its slot.
+    /// Removes the exception of a key that is back with the owner of its slot. The slot gets a new epoch, so
+    /// that the key's fencing token never falls.
     /// @returns whether it did.
     bool drop_settled_exception(const key_ref& key)
     {
@@ -358,10 +359,11 @@
         if (found == state_.hot_keys_.end() || !found->second.released())
             return false;
         const auto slot = state_.slot_of(key.service, key.key);
-        const slot_state& home = state_.services_[number(key.service)].slots[number(slot)];
+        slot_state& home = state_.services_[number(key.service)].slots[number(slot)];
         if (!home.released() || home.owner != found->second.owner)
             return false;
         state_.hot_keys_.erase(found);
+        home.since = at_;
         return true;
     }
 
@@ -402,7 +404,7 @@
         return {result_code::rejected_repeat};
     position_ = at;
     auto& [sequence, last_at] = sequences_[record.session];
-    if (record.sequence <= sequence)
+    if (guards_.repeats && record.sequence <= sequence)
         return {result_code::rejected_repeat};
     sequence = record.sequence;
     last_at = at;
@@ -495,10 +497,11 @@
 }
 
 cluster_state::cluster_state(const cluster_state& other)
-    : position_(other.position_), version_(other.version_), configured_at_(other.configured_at_),
-      documents_(other.documents_), settings_(other.settings_), sessions_(other.sessions_),
-      cells_(other.cells_), services_(other.services_), targets_(other.targets_), hot_keys_(other.hot_keys_),
-      unreleased_(other.unreleased_), yields_(other.yields_), sequences_(other.sequences_)
+    : guards_(other.guards_), position_(other.position_), version_(other.version_),
+      configured_at_(other.configured_at_), documents_(other.documents_), settings_(other.settings_),
+      sessions_(other.sessions_), cells_(other.cells_), services_(other.services_), targets_(other.targets_),
+      hot_keys_(other.hot_keys_), unreleased_(other.unreleased_), yields_(other.yields_),
+      sequences_(other.sequences_)
 {
     index_settings();
 }
--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -19,6 +19,7 @@
     : settings_(std::move(settings)), voter_(settings_.lease, settings_.guards.lease),
       holder_(settings_.lease, settings_.guards.lease)
 {
+    state_.set_guards(settings_.guards.fold);
 }
 
 void coordinator::observe(epoch at, std::string_view record, time_point now)
@@ -68,6 +69,7 @@
     if (state.position() <= state_.position())
         return false;
     state_ = state;
+    state_.set_guards(settings_.guards.fold);
     if (append_ && state_.last_sequence(settings_.session) >= append_->sequence)
         append_.reset();
     note_changes(now);
--- a/src/coordinator_cell.cpp
+++ b/src/coordinator_cell.cpp
@@ -476,7 +476,7 @@
 /// After a reset, dispatchers of the earlier voter sets may still be at work until this is over.
 bool coordinator::fencing_only(const cell_state& cell, const service_settings& service, time_point now) const
 {
-    if (cell.reset_at == no_epoch)
+    if (cell.reset_at == no_epoch || !settings_.guards.reset_needs_fencing)
         return false;
     const auto* data_centre = state_.settings().find_data_centre(settings_.data_centre);
     if (data_centre != nullptr && data_centre->voters_gone_before >= number(cell.reset_at))
--- a/src/coordinator_placement.cpp
+++ b/src/coordinator_placement.cpp
@@ -49,8 +49,12 @@
     if (const auto until = predecessor_until_.find(previous);
         settings_.guards.predecessor_wait && until != predecessor_until_.end() && now < until->second)
         return false;
-    if (!settings_.guards.position_of_majority)
-        return true;
+    return !settings_.guards.position_of_majority || majority_knows(since);
+}
+
+/// @returns whether a majority of the voters has folded the record at an offset.
+bool coordinator::majority_knows(epoch since) const
+{
     std::size_t informed = 0;
     for (const session_id voter : cell()->voters) {
         const auto found = heard_.find(voter);
@@ -62,6 +66,13 @@
     return informed >= majority(cell()->voters.size());
 }
 
+/// Asks the voters for their position again while a release waits for it.
+void coordinator::hasten_release(target_id previous, epoch since, time_point now)
+{
+    if (holder_.holds(previous, now) && !majority_knows(since))
+        heartbeat_due_ = true;
+}
+
 /// Whether the target refuses the item from now on, if it checks grants.
 bool coordinator::fenced(target_id previous, const release_entry& entry, time_point now)
 {
@@ -87,6 +98,7 @@
     std::map<target_id, std::vector<release_entry>> to_revoke;
     std::vector<release_entry> released;
     const auto consider = [&](target_id previous, const release_entry& entry, bool busy) {
+        hasten_release(previous, entry.since, now);
         if (!may_release(previous, entry.since, now) || (busy && settings_.guards.idle_before_release))
             return;
         if (fenced(previous, entry, now))
--- a/src/net/instance.cpp
+++ b/src/net/instance.cpp
@@ -15,7 +15,7 @@
 namespace http = boost::beast::http;
 constexpr auto control_stream = "control";
 constexpr auto snapshot_stream = "snapshots";
-constexpr milliseconds tick_interval{100};
+constexpr milliseconds tick_interval{40};
 constexpr milliseconds log_wait{1000};
 constexpr milliseconds log_retry{300};
 constexpr milliseconds peer_state_limit{1500};
--- /dev/null
+++ b/tests/mutations.cpp
@@ -0,0 +1,108 @@
+// Switches off one guard of the protocol at a time and shows that a checker notices.
+
+#include "support/fake_cluster.hpp"
+
+#include <functional>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_int32(index, -1, "guard to switch off; -1 lists them");
+
+namespace {
+
+using namespace teaseltally;
+
+/// A guard, how it is switched off, and the schedules in which that shows.
+struct mutation {
+    const char* guard;
+    std::function<void(fake::schedule&)> apply;
+};
+
+constexpr std::uint64_t seeds = 120;
+
+const std::vector<mutation> mutations{
+    {"the lease is checked at dispatch",
+     [](auto& plan) {
+         plan.guards.lease_at_dispatch = false;
+         plan.pauses = 8.0;
+     }},
+    {"a voter supports one holder at a time", [](auto& plan) { plan.guards.lease.single_holder = false; }},
+    {"a right lapses",
+     [](auto& plan) {
+         plan.guards.lease.lapse = false;
+         plan.pauses = 8.0;
+     }},
+    {"only renewals count for one lease after a new voter set",
+     [](auto& plan) {
+         plan.guards.lease.wait_after_adoption = false;
+         plan.kills = 8.0;
+         plan.pauses = 8.0;
+     }},
+    {"support counts under one voter set",
+     [](auto& plan) {
+         plan.guards.lease.voter_set_epoch = false;
+         plan.stale_pair = true;
+         plan.nodes_per_data_centre = 4;
+     }},
+    {"the new owner waits for the release", [](auto& plan) { plan.guards.released_before_serving = false; }},
+    {"a release waits for work in flight", [](auto& plan) { plan.guards.idle_before_release = false; }},
+    {"a release waits for the last dispatcher's deadlines",
+     [](auto& plan) {
+         plan.guards.predecessor_wait = false;
+         plan.max_deadline = milliseconds{4000};
+         plan.longest_work = milliseconds{3000};
+         plan.drains = 6.0;
+         plan.stops = 8.0;
+     }},
+    {"a release waits until a majority knows the move",
+     [](auto& plan) {
+         plan.guards.position_of_majority = false;
+         fake::only(plan, &fake::schedule::ambushes);
+     }},
+    {"a dispatcher catches up with its supporters first",
+     [](auto& plan) {
+         plan.guards.caught_up_before_serving = false;
+         fake::only(plan, &fake::schedule::log_cuts);
+     }},
+    {"after a reset only fenced targets are served",
+     [](auto& plan) {
+         plan.guards.reset_needs_fencing = false;
+         fake::only(plan, &fake::schedule::islands);
+     }},
+    {"a cell proves that it reaches the log within the grace",
+     [](auto& plan) {
+         plan.guards.isolation_proof = false;
+         plan.isolation_grace = milliseconds{3000};
+         plan.partitions = 20.0;
+     }},
+    {"a target refuses lower tokens",
+     [](auto& plan) {
+         plan.target_tokens = false;
+         fake::only(plan, &fake::schedule::islands);
+     }},
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_index < 0 || static_cast<std::size_t>(FLAGS_index) >= mutations.size()) {
+        for (std::size_t index = 0; index < mutations.size(); ++index)
+            std::cout << index << " " << mutations[index].guard << "\n";
+        return FLAGS_index < 0 ? 0 : 2;
+    }
+    const auto& mutated = mutations[static_cast<std::size_t>(FLAGS_index)];
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        fake::schedule plan;
+        plan.seed = seed;
+        mutated.apply(plan);
+        const auto found = fake::run(plan);
+        if (found.broken.empty())
+            continue;
+        std::cout << "without \"" << mutated.guard << "\": " << found.broken.front() << "\n";
+        return 0;
+    }
+    std::cout << "nothing notices the loss of \"" << mutated.guard << "\" in " << seeds << " seeds\n";
+    return 1;
+}
--- /dev/null
+++ b/tests/schedules.cpp
@@ -0,0 +1,37 @@
+// Runs seeded schedules of faults over several coordinators and checks their histories.
+
+#include "support/fake_cluster.hpp"
+
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_uint64(first, 1, "first seed");
+DEFINE_uint64(count, 100, "number of seeds");
+DEFINE_bool(trace, false, "print what happens");
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::size_t broken = 0;
+    std::size_t executions = 0;
+    std::size_t moves = 0;
+    std::size_t takeovers = 0;
+    for (std::uint64_t seed = FLAGS_first; seed < FLAGS_first + FLAGS_count; ++seed) {
+        fake::schedule plan;
+        plan.seed = seed;
+        plan.trace = FLAGS_trace;
+        if (seed % 3 == 0)
+            plan.isolation_grace = teaseltally::milliseconds{4000};
+        const auto found = fake::run(plan);
+        for (const auto& problem : found.broken)
+            std::cout << problem << "\n";
+        broken += found.broken.empty() ? 0 : 1;
+        executions += found.executions;
+        moves += found.moves;
+        takeovers += found.takeovers;
+    }
+    std::cout << "seeds " << FLAGS_first << " to " << FLAGS_first + FLAGS_count - 1 << ": " << broken
+              << " broken; executions " << executions << ", moves " << moves << ", dispatcher changes "
+              << takeovers << "\n";
+    return broken == 0 && executions > 0 && moves > 0 ? 0 : 1;
+}
