--- a/daemons/teaseltally_load.cpp
+++ b/daemons/teaseltally_load.cpp
@@ -28,6 +28,9 @@
 DEFINE_double(crash_per_second, 0, "requests a second that crash their target");
 DEFINE_uint64(service_us, 0, "service time asked of targets in microseconds; 0 leaves theirs");
 DEFINE_bool(direct, false, "the entries are targets");
+DEFINE_string(
+    policy, "round_robin",
+    "with --direct: random, round_robin, least_connections, rendezvous or retry (random, without budget)");
 
 namespace {
 
@@ -66,15 +69,46 @@
     std::vector<double> sums_;
 };
 
+/// One request as its caller saw it.
+struct attempt {
+    time_point due;
+    time_point finished;
+    bool served = false;
+};
+
 /// Outcomes of one service.
 struct service_report {
     std::map<std::string, std::uint64_t> classes;
     std::map<std::string, std::uint64_t> codes;
     std::vector<std::int64_t> latencies;
-    std::map<std::string, time_point> failing_since;
-    std::map<std::string, microseconds> unavailable;
+    std::map<std::string, std::vector<attempt>> attempts;
+};
+
+/// How long a place was not served.
+struct outage {
+    microseconds total{};
+    /// The last attempt had failed.
+    bool open = false;
 };
 
+/// Sums the times from a failed request to the end of the next one that was served, by when each was due.
+outage outage_of(std::vector<attempt> attempts)
+{
+    std::ranges::sort(attempts, {}, &attempt::due);
+    outage found;
+    std::optional<time_point> since;
+    for (const auto& each : attempts) {
+        if (!each.served && !since)
+            since = each.due;
+        if (!each.served || !since)
+            continue;
+        found.total += each.finished - *since;
+        since.reset();
+    }
+    found.open = since.has_value();
+    return found;
+}
+
 class load {
 public:
     explicit load(asio::io_context& io) : io_(io), client_(io.get_executor(), {4096}), random_(FLAGS_seed)
@@ -84,7 +118,7 @@
             const auto parsed = parse_endpoint(text);
             if (const auto* problem = failure(parsed))
                 throw std::invalid_argument(problem->message);
-            entries_.push_back({std::get<tcp_endpoint>(parsed), {}});
+            entries_.push_back({std::get<tcp_endpoint>(parsed), {}, 0});
         }
         std::istringstream mixes(FLAGS_mix);
         for (std::string text; std::getline(mixes, text, ',');) {
@@ -125,8 +159,14 @@
                                                                share * static_cast<double>(sorted.size())))]);
             }
             std::vector<std::int64_t> gaps;
-            for (const auto& [key, time] : service.unavailable)
-                gaps.push_back(time / milliseconds{1});
+            std::uint64_t open = 0;
+            for (const auto& [place, attempts] : service.attempts) {
+                const auto found = outage_of(attempts);
+                open += found.open ? 1 : 0;
+                if (found.total.count() > 0)
+                    gaps.push_back(found.total / milliseconds{1});
+            }
+            entry["never_served_again"] = static_cast<Json::UInt64>(open);
             std::ranges::sort(gaps);
             entry["unavailable_keys"] = static_cast<Json::UInt64>(gaps.size());
             entry["unavailable_median_ms"] =
@@ -141,6 +181,7 @@
     struct entry_state {
         tcp_endpoint address;
         time_point avoid_until;
+        std::uint32_t outstanding = 0;
     };
 
     asio::awaitable<void> offer(service_mix mix, std::uint64_t seed)
@@ -165,6 +206,20 @@
         }
     }
 
+    /// A baseline's choice among targets.
+    entry_state& choose_target(const std::string& key, std::size_t tried)
+    {
+        if (FLAGS_policy == "least_connections")
+            return *std::ranges::min_element(entries_, {}, &entry_state::outstanding);
+        if (FLAGS_policy == "rendezvous") {
+            return *std::ranges::max_element(
+                entries_, {}, [&](const entry_state& e) { return rendezvous_rank(key, e.address.port()); });
+        }
+        if (FLAGS_policy == "random" || FLAGS_policy == "retry")
+            return entries_[random_() % entries_.size()];
+        return entries_[(turn_++ + tried) % entries_.size()];
+    }
+
     entry_state& choose_entry()
     {
         const auto now = boot_clock::now();
@@ -196,14 +251,20 @@
             request.set("x-service-us", std::to_string(FLAGS_service_us));
         record("invoke", id, mix.name, key, mix.kind, due);
         http_outcome outcome = http_failure{};
-        for (std::size_t tried = 0; tried < entries_.size(); ++tried) {
-            auto& entry = choose_entry();
+        const std::size_t tries = FLAGS_direct && FLAGS_policy != "retry" ? 1 : entries_.size();
+        for (std::size_t tried = 0; tried < tries; ++tried) {
+            auto& entry = FLAGS_direct ? choose_target(key, tried) : choose_entry();
+            ++entry.outstanding;
             outcome = co_await client_.exchange(entry.address, request,
                                                 due + milliseconds{FLAGS_deadline_ms} + milliseconds{500});
+            --entry.outstanding;
             const auto* failed = std::get_if<http_failure>(&outcome);
-            if (failed != nullptr)
+            const auto* response = std::get_if<http_response>(&outcome);
+            if (failed != nullptr || (!FLAGS_direct && !response->keep_alive()))
                 entry.avoid_until = boot_clock::now() + entry_pause;
-            if (failed == nullptr || failed->sent || failed->timed_out)
+            const bool repeat = FLAGS_direct && FLAGS_policy == "retry" &&
+                                (response == nullptr || response->result_int() != 200);
+            if (!repeat && (failed == nullptr || failed->sent || failed->timed_out))
                 break;
         }
         finish(mix, id, key, due, outcome);
@@ -215,6 +276,7 @@
     {
         const auto now = boot_clock::now();
         auto& report = reports_[mix.kind == "crash" ? mix.name + "!crash" : mix.name];
+        const std::string place = mix.kind == "keyed" || mix.kind == "keyed-commit" ? key : "any";
         std::string kind = "lost";
         std::string code = "lost";
         if (const auto* response = std::get_if<http_response>(&outcome)) {
@@ -227,15 +289,10 @@
         ++report.classes[kind];
         ++report.codes[code];
         record("answer", id, mix.name, key, kind, now);
-        if (kind == "done") {
+        if (kind == "done")
             report.latencies.push_back((now - due).count());
-            if (const auto since = report.failing_since.find(key); since != report.failing_since.end()) {
-                report.unavailable[key] += now - since->second;
-                report.failing_since.erase(since);
-            }
-        }
-        else if (kind != "refused")
-            report.failing_since.try_emplace(key, due);
+        if (kind != "refused")
+            report.attempts[place].push_back({due, now, kind == "done"});
     }
 
     void record(const char* event, const std::string& id, const std::string& service, const std::string& key,
--- a/daemons/teaseltallyctl.cpp
+++ b/daemons/teaseltallyctl.cpp
@@ -354,8 +354,17 @@
               << status["position"].asUInt64() << "  configuration "
               << status["configuration"]["version"].asUInt64() << "  platform "
               << (status["platform_up"].asBool() ? "up" : "away") << "  sessions "
-              << status["sessions"].size() << "  moves seen " << status["moves_seen"].asUInt64() << "\n";
-    std::map<std::string, std::pair<double, double>> sums;
+              << status["sessions"].size() << "  moves seen " << status["moves_seen"].asUInt64()
+              << "  hot keys " << status["hot_keys"].asUInt64() << "\n";
+    for (const auto& name : status["services"].getMemberNames()) {
+        const auto& service = status["services"][name];
+        std::cout << "  service " << name << "  imbalance "
+                  << (service.isMember("imbalance") ? std::to_string(service["imbalance"].asDouble())
+                                                    : "unknown")
+                  << " over " << service["loads_known"].asUInt64() << " targets  last hour: moves "
+                  << service["moves_last_hour"].asUInt64() << ", unavailable "
+                  << service["unavailable_seconds_last_hour"].asUInt64() << " s\n";
+    }
     for (const auto& target : status["targets"]) {
         std::cout << "  " << target["service"].asString() << "  " << target["name"].asString() << "  "
                   << (target["up"].asBool() ? "up" : "down") << (target["accepts"].asBool() ? "" : " leaving")
--- a/include/teaseltally/coordinator.hpp
+++ b/include/teaseltally/coordinator.hpp
@@ -86,6 +86,8 @@
     /// Epoch that the sender relied on.
     epoch relied_on{};
     time_point deadline{};
+    /// The request carries an idempotency key, so one dispatcher alone may run it.
+    bool marked = false;
 };
 
 /// Leave to hand work to a target now.
@@ -154,6 +156,8 @@
     }
     /// @returns the session to ask first for a target: its known dispatcher or the likeliest one.
     [[nodiscard]] session_id likely_dispatcher(target_id target, time_point now) const;
+    /// @returns the sessions to ask for a target, the likeliest dispatcher first.
+    [[nodiscard]] std::vector<session_id> possible_dispatchers(target_id target, time_point now) const;
     /// @returns whether a member of the cell was heard lately and is not leaving.
     [[nodiscard]] bool hears(session_id session, time_point now) const { return alive(session, now); }
     /// @returns whether a graceful stop is complete.
@@ -164,8 +168,11 @@
     [[nodiscard]] bool behind() const;
     [[nodiscard]] bool joined() const { return state_.sessions().contains(settings_.session); }
     [[nodiscard]] const std::map<target_id, load_report>& loads() const noexcept { return loads_; }
-    /// @returns slots and keys that this instance saw move since it started.
-    [[nodiscard]] std::uint64_t moves_seen() const noexcept { return moves_seen_; }
+    /// @returns slots and keys that this instance saw move since it started, for each service.
+    [[nodiscard]] const std::map<service_id, std::uint64_t>& moves_seen() const noexcept
+    {
+        return moves_seen_;
+    }
 
 private:
     /// Service, whether it is a hot key, and slot number or key hash.
@@ -188,6 +195,7 @@
     [[nodiscard]] bool votes() const;
     [[nodiscard]] bool alive(session_id session, time_point now) const;
     [[nodiscard]] std::vector<session_id> ranked_voters(target_id target, time_point now) const;
+    [[nodiscard]] session_id known_dispatcher(target_id target, time_point now) const;
     [[nodiscard]] bool proposes_for_cell(time_point now) const;
     [[nodiscard]] std::vector<session_id> acknowledged_voters() const;
     [[nodiscard]] std::optional<record_body> voter_proposal(time_point now) const;
@@ -208,6 +216,7 @@
     [[nodiscard]] std::optional<record_body> evacuation_proposal(time_point now);
     [[nodiscard]] std::optional<record_body> placement_proposal(time_point now);
     [[nodiscard]] std::optional<record_body> balance_proposal(time_point now);
+    [[nodiscard]] std::optional<record_body> cooled_key_proposal(service_id service) const;
     [[nodiscard]] std::optional<record_body> yield_proposal(time_point now);
     [[nodiscard]] std::optional<record_body> make_move(service_id service,
                                                        std::span<const placement_item> items);
@@ -217,6 +226,11 @@
     [[nodiscard]] bool may_eject(service_id service) const;
     [[nodiscard]] bool needs_place(target_id owner) const;
     void report_loads(time_point now);
+    void note_moves(epoch at, const record_body& body, std::size_t applied);
+    [[nodiscard]] bool gather_loads(service_id service, std::vector<placement_target>& targets,
+                                    std::vector<placement_item>& items, time_point now);
+    [[nodiscard]] std::optional<record_body> level(service_id service, const balance_limits& limits,
+                                                   time_point now);
     void note_changes(time_point now);
     [[nodiscard]] bool is_settled(const owned_item& item, epoch since) const;
 
@@ -298,11 +312,12 @@
     std::map<target_id, time_point> loads_at_;
     std::map<target_id, time_point> accepting_since_;
     std::deque<time_point> recent_moves_;
+    std::map<service_id, time_point> unlevel_since_;
     time_point reported_at_{};
     time_point balanced_at_{};
     time_point needed_since_{};
     bool ownership_changed_ = true;
-    std::uint64_t moves_seen_ = 0;
+    std::map<service_id, std::uint64_t> moves_seen_;
 };
 
 } // namespace teaseltally
--- a/include/teaseltally/instance.hpp
+++ b/include/teaseltally/instance.hpp
@@ -7,6 +7,7 @@
 #include <teaseltally/net/peer_channel.hpp>
 #include <teaseltally/net/platform_client.hpp>
 #include <teaseltally/net/timer_service.hpp>
+#include <teaseltally/service_window.hpp>
 
 #include <memory>
 #include <vector>
@@ -49,9 +50,12 @@
     [[nodiscard]] asio::awaitable<bool> load_from_peers();
     [[nodiscard]] asio::awaitable<void> write_snapshots();
     [[nodiscard]] asio::awaitable<void> append(std::string record);
+    [[nodiscard]] asio::awaitable<http_response> serve_caller(http_request request);
     [[nodiscard]] asio::awaitable<http_response> serve_peer(http_request request);
     [[nodiscard]] asio::awaitable<http_response> serve_operator(http_request request);
-    [[nodiscard]] std::string status() const;
+    [[nodiscard]] std::string status();
+    [[nodiscard]] Json::Value target_status(target_id target, std::uint64_t owned, time_point now) const;
+    [[nodiscard]] Json::Value service_status(service_id service, time_point now);
     [[nodiscard]] std::string explain(std::string_view query) const;
     void tick(time_point now);
     void act();
@@ -83,6 +87,8 @@
     time_point platform_read_at_{};
     time_point configured_at_{};
     std::uint64_t seen_version_ = 0;
+    std::map<service_id, service_window> windows_;
+    std::map<service_id, std::uint64_t> moves_noted_;
     epoch snapshot_position_{};
     time_point snapshot_at_{};
 };
--- a/include/teaseltally/net/entry.hpp
+++ b/include/teaseltally/net/entry.hpp
@@ -33,6 +33,14 @@
         double reported = 0.0;
     };
 
+    /// What the entry has seen of another instance.
+    struct peer_record {
+        std::uint32_t outstanding = 0;
+        /// When it last answered, or was first asked after a time with nothing outstanding.
+        time_point progress{};
+        time_point unreachable_until{};
+    };
+
     [[nodiscard]] std::variant<work_order, work_result> read_order(http_request request);
     [[nodiscard]] asio::awaitable<work_result> route(work_order order);
     [[nodiscard]] asio::awaitable<work_result> route_hedged(const work_order& order);
@@ -40,6 +48,10 @@
     [[nodiscard]] asio::awaitable<work_result> attempt(const work_order& order, session_id at);
     [[nodiscard]] asio::awaitable<work_result> forward(const work_order& order, session_id at);
     [[nodiscard]] std::optional<target_id> choose(const work_order& order, const std::set<target_id>& tried);
+    [[nodiscard]] session_id choose_dispatcher(target_id target, const std::set<session_id>& asked);
+    [[nodiscard]] bool learn(target_id target, session_id at, const work_result& result,
+                             std::set<session_id>& asked);
+    [[nodiscard]] bool is_suspect(session_id session, time_point now) const;
     [[nodiscard]] bool may_repeat(const work_order& order, const work_result& result);
     void log_decision(const work_order& order, session_id at, const work_result& result,
                       std::size_t attempts);
@@ -50,6 +62,7 @@
     std::uint64_t next_request_ = 1;
     std::map<target_id, target_record> records_;
     std::map<target_id, session_id> hints_;
+    std::map<session_id, peer_record> peers_;
     std::map<service_id, retry_budget> budgets_;
 };
 
--- a/include/teaseltally/net/http.hpp
+++ b/include/teaseltally/net/http.hpp
@@ -122,8 +122,12 @@
 
     /// @returns the address listened on.
     [[nodiscard]] tcp_endpoint local() const;
-    /// Accepts no more; idle connections close and those at work close after their response.
-    void drain();
+    /// Answers what still comes and closes each connection after its response; after a while closes idle
+    /// connections and accepts no more.
+    /// @param idle_time how long callers may still use connections that they hold.
+    void drain(milliseconds idle_time);
+    /// @returns whether a drain has closed what was idle.
+    [[nodiscard]] bool drained() const noexcept;
     /// @returns requests that are being answered.
     [[nodiscard]] std::size_t active() const noexcept;
 
--- a/include/teaseltally/placement.hpp
+++ b/include/teaseltally/placement.hpp
@@ -16,8 +16,10 @@
     /// Work that the target can carry, in the unit of the loads.
     double capacity = 1.0;
     double load = 0.0;
+    /// Share of the capacity that is used while the target starts slowly.
+    double share = 1.0;
 
-    [[nodiscard]] double utilisation() const noexcept { return load / capacity; }
+    [[nodiscard]] double utilisation() const noexcept { return load / (capacity * share); }
 };
 
 /// A slot or hot key that may be moved.
@@ -42,7 +44,7 @@
     double start_ratio = 1.25;
     /// Ratio at which they end.
     double stop_ratio = 1.10;
-    /// Mean utilisation below which nothing is moved.
+    /// Mean utilisation of the whole capacity below which nothing is moved.
     double least_utilisation = 0.05;
     std::size_t budget = 16;
 };
--- /dev/null
+++ b/include/teaseltally/teaseltally.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+/// @file
+/// Everything that teaseltally offers to embedders. The parts under `net/` need Boost.Asio and Beast and
+/// are included by name, as `teaseltally/instance.hpp` does.
+
+#include <teaseltally/types.hpp>
+
+#include <teaseltally/result.hpp>
+
+#include <teaseltally/json.hpp>
+
+#include <teaseltally/configuration.hpp>
+
+#include <teaseltally/records.hpp>
+
+#include <teaseltally/cluster_state.hpp>
+
+#include <teaseltally/snapshot.hpp>
+
+#include <teaseltally/peer_messages.hpp>
+
+#include <teaseltally/lease.hpp>
+
+#include <teaseltally/dispatch_ledger.hpp>
+
+#include <teaseltally/placement.hpp>
+
+#include <teaseltally/coordinator.hpp>
+
+#include <teaseltally/admission.hpp>
+
+#include <teaseltally/idempotency.hpp>
+
+#include <teaseltally/request_policy.hpp>
+
+#include <teaseltally/metrics.hpp>
+#include <teaseltally/service_window.hpp>
+
+#include <teaseltally/log_line.hpp>
--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -52,15 +52,31 @@
                .text());
     if (outcome.code == result_code::ok)
         note_changes(now);
-    if (const auto* move = std::get_if<slot_move>(&accepted.body); move && outcome.code == result_code::ok) {
-        moves_seen_ += outcome.applied;
-        for (const auto& entry : move->slots)
-            decide(log_line("placement")
-                       .add("service", move->service)
-                       .add("slot", entry.slot)
-                       .add("epoch", at)
-                       .add("target", state_.targets()[number(entry.to)].name)
-                       .text());
+    if (outcome.code == result_code::ok)
+        note_moves(at, accepted.body, outcome.applied);
+}
+
+/// Counts and logs placements.
+void coordinator::note_moves(epoch at, const record_body& body, std::size_t applied)
+{
+    const auto placed = [&](service_id service, std::string_view kind, auto item, target_id to) {
+        decide(log_line("placement")
+                   .add("service", service)
+                   .add(kind, item)
+                   .add("epoch", at)
+                   .add("target", state_.targets()[number(to)].name)
+                   .text());
+    };
+    if (const auto* move = std::get_if<slot_move>(&body)) {
+        moves_seen_[move->service] += applied;
+        for (const auto& entry : move->slots) {
+            if (state_.services()[number(move->service)].slots[number(entry.slot)].since == at)
+                placed(move->service, "slot", entry.slot, entry.to);
+        }
+    }
+    else if (const auto* key = std::get_if<key_move>(&body)) {
+        ++moves_seen_[key->service];
+        placed(key->service, "key", key->key, key->to);
     }
 }
 
--- a/src/coordinator_cell.cpp
+++ b/src/coordinator_cell.cpp
@@ -215,25 +215,39 @@
     return ranked;
 }
 
-session_id coordinator::likely_dispatcher(target_id target, time_point now) const
+/// @returns the dispatcher of a target of this cell as its votes and heartbeats show it, or `no_session`.
+session_id coordinator::known_dispatcher(target_id target, time_point now) const
 {
     if (dispatches(target, now))
         return settings_.session;
-    const std::string name = state_.cell_of(target);
-    if (name == cell_name_) {
-        if (const auto holder = voter_.holder(target, now);
-            holder != no_session && holder != settings_.session && alive(holder, now))
-            return holder;
-        if (const auto hint = dispatcher_hints_.find(target);
-            hint != dispatcher_hints_.end() && alive(hint->second, now))
-            return hint->second;
-    }
-    const auto found = state_.cells().find(name);
-    if (found == state_.cells().end() || found->second.voters.empty())
+    if (state_.cell_of(target) != cell_name_)
         return no_session;
-    const std::string& target_name = state_.targets()[number(target)].name;
-    return *std::ranges::max_element(found->second.voters, {},
-                                     [&](session_id s) { return rendezvous_rank(target_name, number(s)); });
+    if (const auto holder = voter_.holder(target, now); holder != settings_.session && alive(holder, now))
+        return holder;
+    const auto hint = dispatcher_hints_.find(target);
+    return hint != dispatcher_hints_.end() && alive(hint->second, now) ? hint->second : no_session;
+}
+
+std::vector<session_id> coordinator::possible_dispatchers(target_id target, time_point now) const
+{
+    std::vector<session_id> out;
+    if (const auto found = state_.cells().find(state_.cell_of(target)); found != state_.cells().end())
+        out = found->second.voters;
+    const std::string& name = state_.targets()[number(target)].name;
+    std::ranges::sort(out, std::greater<>{}, [&](session_id s) { return rendezvous_rank(name, number(s)); });
+    if (const auto known = known_dispatcher(target, now); known != no_session) {
+        std::erase(out, known);
+        out.insert(out.begin(), known);
+    }
+    return out;
+}
+
+session_id coordinator::likely_dispatcher(target_id target, time_point now) const
+{
+    if (const auto known = known_dispatcher(target, now); known != no_session)
+        return known;
+    const auto possible = possible_dispatchers(target, now);
+    return possible.empty() ? no_session : possible.front();
 }
 
 /// Lists the targets whose dispatcher this cell chooses.
--- a/src/coordinator_placement.cpp
+++ b/src/coordinator_placement.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds report_interval{1000};
 constexpr milliseconds report_lifetime{5000};
 constexpr milliseconds balance_interval{1000};
+/// Time for which load must be out of its bound before anything is moved.
+constexpr milliseconds unlevel_time{3000};
 /// Head start of each rank over the next in proposing placements.
 constexpr milliseconds proposer_delay{3000};
 /// Time for which a first placement waits for the cells of all data centres.
@@ -205,7 +207,7 @@
     for (std::uint32_t index = 0; index < state_.targets().size(); ++index) {
         const target_id target{index};
         if (state_.targets()[index].service == service && state_.accepts_slots(target) && is_served(target))
-            targets.push_back({target, static_cast<double>(state_.settings_of(target)->slots), 0.0});
+            targets.push_back({target, static_cast<double>(state_.settings_of(target)->slots), 0.0, 1.0});
     }
     return targets;
 }
@@ -319,6 +321,89 @@
     return std::nullopt;
 }
 
+/// Lists the targets of a service and their most loaded items.
+/// @returns whether every accepting target has a fresh report.
+bool coordinator::gather_loads(service_id service, std::vector<placement_target>& targets,
+                               std::vector<placement_item>& items, time_point now)
+{
+    const auto& slots = state_.services()[number(service)].slots;
+    if (slots.empty())
+        return false;
+    targets = accepting_targets(service);
+    for (auto& target : targets) {
+        const auto report = loads_.find(target.id);
+        if (report == loads_.end() || now >= loads_at_[target.id] + report_lifetime)
+            return false;
+        const double ramp = static_cast<double>((now - accepting_since_[target.id]) / milliseconds{1}) /
+                            static_cast<double>(slow_start.count());
+        target.capacity *= busy_milliseconds_per_slot;
+        target.share = std::clamp(ramp, slow_start_share, 1.0);
+        target.load = report->second.load;
+        for (const auto& entry : report->second.slots) {
+            if (entry.item < slots.size() && slots[entry.item].released() &&
+                slots[entry.item].owner == target.id)
+                items.push_back({entry.item, false, target.id, slots[entry.item].since, double(entry.load)});
+        }
+        for (const auto& entry : report->second.keys) {
+            const auto& owned = state_.ownership(service, key_hash{entry.item});
+            if (owned.released() && owned.owner == target.id)
+                items.push_back({entry.item, true, target.id, owned.since, double(entry.load)});
+        }
+    }
+    return true;
+}
+
+/// Levels the load of one service.
+std::optional<record_body> coordinator::level(service_id service, const balance_limits& limits,
+                                              time_point now)
+{
+    std::vector<placement_target> targets;
+    std::vector<placement_item> items;
+    if (!gather_loads(service, targets, items, now))
+        return std::nullopt;
+    const auto moves = balance_items(std::move(items), std::move(targets), limits);
+    if (moves.empty()) {
+        unlevel_since_.erase(service);
+        return std::nullopt;
+    }
+    if (now < unlevel_since_.try_emplace(service, now).first->second + unlevel_time)
+        return std::nullopt;
+    if (const auto& first = moves.front(); first.item.hot) {
+        recent_moves_.push_back(now);
+        return key_move{service, key_hash{first.item.item}, first.item.since, first.to};
+    }
+    slot_move body{service, {}};
+    for (const auto& move : moves) {
+        if (move.item.hot)
+            continue;
+        body.slots.push_back({slot_id{static_cast<std::uint32_t>(move.item.item)}, move.item.since, move.to});
+        recent_moves_.push_back(now);
+    }
+    return body;
+}
+
+/// Takes a key that is no longer hot back to its slot while the table of hot keys is nearly full.
+std::optional<record_body> coordinator::cooled_key_proposal(service_id service) const
+{
+    if (4 * state_.hot_keys().size() < 3 * std::size_t{state_.settings().deployment.hot_keys})
+        return std::nullopt;
+    for (const auto& [key, owned] : state_.hot_keys()) {
+        const auto& home =
+            state_.services()[number(key.service)].slots[number(state_.slot_of(key.service, key.key))];
+        if (key.service != service || !owned.released() || !home.released() ||
+            !state_.accepts_slots(home.owner))
+            continue;
+        const auto report = loads_.find(owned.owner);
+        const bool hot = report != loads_.end() &&
+                         std::ranges::any_of(report->second.keys, [&key = key](const item_load& load) {
+                             return load.item == number(key.key) && load.load > 0;
+                         });
+        if (!hot)
+            return key_move{key.service, key.key, owned.since, home.owner};
+    }
+    return std::nullopt;
+}
+
 /// Levels observed load within the churn budget.
 std::optional<record_body> coordinator::balance_proposal(time_point now)
 {
@@ -333,51 +418,10 @@
     balance_limits limits;
     limits.budget = std::min(limits.budget, allowed - recent_moves_.size());
     for (std::uint32_t index = 0; index < state_.services().size(); ++index) {
-        const service_id service{index};
-        const auto& slots = state_.services()[index].slots;
-        auto targets = accepting_targets(service);
-        std::vector<placement_item> items;
-        bool fresh = !slots.empty();
-        for (auto& target : targets) {
-            const auto report = loads_.find(target.id);
-            fresh = fresh && report != loads_.end() && now < loads_at_[target.id] + report_lifetime;
-            if (!fresh)
-                break;
-            const double ramp = static_cast<double>((now - accepting_since_[target.id]) / milliseconds{1}) /
-                                static_cast<double>(slow_start.count());
-            target.capacity *= busy_milliseconds_per_slot * std::clamp(ramp, slow_start_share, 1.0);
-            target.load = report->second.load;
-            for (const auto& entry : report->second.slots) {
-                if (entry.item < slots.size() && slots[entry.item].released() &&
-                    slots[entry.item].owner == target.id)
-                    items.push_back(
-                        {entry.item, false, target.id, slots[entry.item].since, double(entry.load)});
-            }
-            for (const auto& entry : report->second.keys) {
-                const auto& owned = state_.ownership(service, key_hash{entry.item});
-                if (owned.released() && owned.owner == target.id)
-                    items.push_back({entry.item, true, target.id, owned.since, double(entry.load)});
-            }
-        }
-        if (!fresh)
-            continue;
-        const auto moves = balance_items(std::move(items), std::move(targets), limits);
-        if (moves.empty())
-            continue;
-        if (moves.front().item.hot) {
-            recent_moves_.push_back(now);
-            return key_move{service, key_hash{moves.front().item.item}, moves.front().item.since,
-                            moves.front().to};
-        }
-        slot_move body{service, {}};
-        for (const auto& move : moves) {
-            if (move.item.hot)
-                continue;
-            body.slots.push_back(
-                {slot_id{static_cast<std::uint32_t>(move.item.item)}, move.item.since, move.to});
-            recent_moves_.push_back(now);
-        }
-        return body;
+        if (auto body = cooled_key_proposal(service_id{index}))
+            return body;
+        if (auto body = level(service_id{index}, limits, now))
+            return body;
     }
     return std::nullopt;
 }
--- a/src/net/dispatcher.cpp
+++ b/src/net/dispatcher.cpp
@@ -266,7 +266,8 @@
     const auto& deployment = decisions.state().settings().deployment;
     if (context_.quarantine.is_quarantined(order.fingerprint, deployment.crashes_to_quarantine, now))
         co_return work_result{result_code::refused_quarantined, {}, {}, deployment.quarantine};
-    const dispatch_request wanted{order.target, order.service, order.key, order.relied_on, order.deadline};
+    const dispatch_request wanted{order.target,    order.service,  order.key,
+                                  order.relied_on, order.deadline, !order.idempotency_key.empty()};
     const auto refusal = decisions.check(wanted, now);
     const bool homeless = refusal && refusal->code == result_code::not_run_draining;
     if (refusal && !(homeless && !order.idempotency_key.empty() && !order.marked))
--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds least_retry_after{100};
 constexpr double newest_weight = 0.2;
 constexpr std::size_t max_header_value = 256;
+/// Time without any answer after which another instance is asked first.
+constexpr milliseconds progress_limit{400};
+constexpr milliseconds unreachable_time{500};
 
 std::optional<std::uint64_t> parse_number(std::string_view text)
 {
@@ -216,7 +219,8 @@
     if (settings == nullptr || !settings->hedge || service.keyed || !order.idempotent || late.count() == 0)
         co_return co_await route(order);
     auto first_or_late = co_await (route(order) || hedge(order, late));
-    co_return std::visit([](auto&& result) { return std::move(result); }, std::move(first_or_late));
+    co_return first_or_late.index() == 0 ? std::get<0>(std::move(first_or_late))
+                                         : std::get<1>(std::move(first_or_late));
 }
 
 /// Routes a second copy of an order after a delay, if the retry budget allows it.
@@ -286,57 +290,92 @@
     return false;
 }
 
+/// Without progress for a while, or refused lately.
+bool entry_router::is_suspect(session_id session, time_point now) const
+{
+    const auto found = peers_.find(session);
+    if (found == peers_.end())
+        return false;
+    const auto& peer = found->second;
+    return now < peer.unreachable_until || (peer.outstanding > 0 && now >= peer.progress + progress_limit);
+}
+
+/// @returns whom to ask: the dispatcher last named, unless it is suspect, else the likeliest not asked yet.
+session_id entry_router::choose_dispatcher(target_id target, const std::set<session_id>& asked)
+{
+    const auto now = boot_clock::now();
+    if (const auto hint = hints_.find(target); hint != hints_.end()) {
+        if (!is_suspect(hint->second, now))
+            return hint->second;
+        hints_.erase(hint);
+    }
+    const auto possible = context_.decisions.possible_dispatchers(target, now);
+    const auto usable = [&](session_id s) { return !is_suspect(s, now) && !asked.contains(s); };
+    if (const auto found = std::ranges::find_if(possible, usable); found != possible.end())
+        return *found;
+    return possible.empty() ? no_session : possible.front();
+}
+
 asio::awaitable<work_result> entry_router::route(work_order order)
 {
     const auto begun = boot_clock::now();
     if (const auto* settings = context_.decisions.state().settings_of(order.service))
         budgets_[order.service].configure(settings->retry_percent);
     budgets_[order.service].earn();
+    const bool unkeyed = !context_.decisions.state().services()[number(order.service)].keyed;
     work_result result{result_code::not_run_no_owner, {}, {}, {}};
     std::set<target_id> tried;
+    std::set<session_id> asked;
     std::size_t attempts = 0;
     session_id at = no_session;
     while (attempts < max_attempts) {
         const auto target = choose(order, tried);
-        if (!target) {
-            result = {result_code::not_run_no_owner, {}, {}, {}};
-        }
-        else {
+        ++attempts;
+        result = {result_code::not_run_no_owner, {}, {}, {}};
+        if (target) {
             order.target = *target;
             order.relied_on = context_.decisions.state().position();
-            const auto hint = hints_.find(*target);
-            at = hint != hints_.end() ? hint->second
-                                      : context_.decisions.likely_dispatcher(*target, boot_clock::now());
-            ++attempts;
+            at = choose_dispatcher(*target, asked);
             result = co_await attempt(order, at);
-            if (class_of(result.code) != result_class::not_run && result.code != result_code::done)
-                hints_.erase(*target);
         }
         if (!may_repeat(order, result))
             break;
         const auto now = boot_clock::now();
-        const bool unkeyed = !context_.decisions.state().services()[number(order.service)].keyed;
-        if (target)
-            tried.insert(*target);
         const bool overloaded = result.code == result_code::not_run_overloaded;
         if (now + reroute_pause >= order.deadline || now >= begun + reroute_limit ||
-            (overloaded && !unkeyed) || (overloaded && !budgets_[order.service].spend()))
+            (overloaded && (!unkeyed || !budgets_[order.service].spend())))
             break;
-        if (target && result.holder != no_session && result.holder != at &&
-            result.code == result_code::not_run_not_dispatcher) {
-            hints_[*target] = result.holder;
-            continue;
+        if (target && !learn(*target, at, result, asked)) {
+            tried.insert(*target);
+            if (unkeyed)
+                continue;
         }
-        if (target)
-            hints_.erase(*target);
-        if (!unkeyed || !target || result.code == result_code::not_run_not_dispatcher ||
-            result.code == result_code::not_run_behind)
-            co_await sleep_for(reroute_pause);
+        else if (target && (result.holder != no_session || result.code == result_code::not_run_unreachable))
+            continue;
+        asked.clear();
+        co_await sleep_for(reroute_pause);
     }
     log_decision(order, at, result, attempts);
     co_return result;
 }
 
+/// Learns from a "not run" whom to ask next.
+/// @returns whether another instance may serve the same target.
+bool entry_router::learn(target_id target, session_id at, const work_result& result,
+                         std::set<session_id>& asked)
+{
+    asked.insert(at);
+    if (result.holder != no_session && result.holder != at) {
+        hints_[target] = result.holder;
+        return true;
+    }
+    hints_.erase(target);
+    const bool instance_failed =
+        result.code == result_code::not_run_not_dispatcher || result.code == result_code::not_run_behind ||
+        (result.code == result_code::not_run_unreachable && is_suspect(at, boot_clock::now()));
+    return instance_failed;
+}
+
 asio::awaitable<work_result> entry_router::attempt(const work_order& order, session_id at)
 {
     auto& record = records_[order.target];
@@ -372,8 +411,17 @@
     if (order.marked)
         request.set("tt-marked", "1");
     context_.measured.count("forwards_total");
-    auto outcome = co_await context_.client.exchange(*address, std::move(request), order.deadline);
+    auto& peer = peers_[at];
+    if (peer.outstanding == 0)
+        peer.progress = boot_clock::now();
+    http_outcome outcome;
+    {
+        const outstanding_guard counted(peer.outstanding);
+        outcome = co_await context_.client.exchange(*address, std::move(request), order.deadline);
+    }
     if (const auto* failed = std::get_if<http_failure>(&outcome)) {
+        if (!failed->timed_out)
+            peer.unreachable_until = boot_clock::now() + unreachable_time;
         if (!failed->sent)
             co_return work_result{result_code::not_run_unreachable, {}, {}, {}};
         co_return work_result{failed->timed_out ? result_code::unknown_deadline
@@ -382,6 +430,8 @@
                               {},
                               {}};
     }
+    peer.progress = boot_clock::now();
+    peer.unreachable_until = {};
     auto& response = std::get<http_response>(outcome);
     const auto code = parse_code(response["tt-code"]);
     if (!code)
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -178,8 +178,11 @@
     std::size_t connections = 0;
     std::size_t active = 0;
     bool draining = false;
+    bool closed = false;
 
     asio::awaitable<void> accept();
+    asio::awaitable<void> close_after(milliseconds idle_time);
+    void close();
     asio::awaitable<void> serve(beast::tcp_stream stream);
 };
 
@@ -198,12 +201,29 @@
 
 } // namespace
 
+void http_server::shared::close()
+{
+    draining = true;
+    closed = true;
+    error_code ignored;
+    acceptor.close(ignored);
+    for (auto* stream : idle)
+        stream->cancel();
+}
+
+asio::awaitable<void> http_server::shared::close_after(milliseconds idle_time)
+{
+    const auto self = shared_from_this();
+    co_await sleep_for(idle_time);
+    close();
+}
+
 asio::awaitable<void> http_server::shared::accept()
 {
     const auto self = shared_from_this();
-    while (!draining) {
+    while (!closed) {
         auto [failed, socket] = co_await acceptor.async_accept(as_result);
-        if (failed == asio::error::operation_aborted || draining)
+        if (failed == asio::error::operation_aborted || closed)
             co_return;
         if (failed) {
             co_await sleep_for(milliseconds{10});
@@ -223,7 +243,7 @@
     ++connections;
     beast::flat_buffer buffer;
     bool open = true;
-    while (open && !draining) {
+    while (open && !closed) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(limits.body_bytes);
         idle.insert(&stream);
@@ -280,7 +300,7 @@
 
 http_server::~http_server()
 {
-    drain();
+    shared_->close();
 }
 
 tcp_endpoint http_server::local() const
@@ -288,13 +308,15 @@
     return shared_->acceptor.local_endpoint();
 }
 
-void http_server::drain()
+void http_server::drain(milliseconds idle_time)
 {
     shared_->draining = true;
-    error_code ignored;
-    shared_->acceptor.close(ignored);
-    for (auto* stream : shared_->idle)
-        stream->cancel();
+    asio::co_spawn(shared_->executor, shared_->close_after(idle_time), asio::detached);
+}
+
+bool http_server::drained() const noexcept
+{
+    return shared_->closed;
 }
 
 std::size_t http_server::active() const noexcept
--- a/src/net/instance.cpp
+++ b/src/net/instance.cpp
@@ -16,6 +16,8 @@
 constexpr auto control_stream = "control";
 constexpr auto snapshot_stream = "snapshots";
 constexpr milliseconds tick_interval{40};
+/// Time for which callers may still use their connections to an instance that stops.
+constexpr milliseconds drain_time{2000};
 constexpr milliseconds log_wait{1000};
 constexpr milliseconds log_retry{300};
 constexpr milliseconds peer_state_limit{1500};
@@ -47,6 +49,13 @@
     return target.substr(0, target.find('?'));
 }
 
+/// @returns the first segment of a caller's path.
+std::string_view service_name(const http_request& request)
+{
+    const auto path = path_of(request);
+    return path.empty() ? path : path.substr(1, path.find('/', 1) - 1);
+}
+
 tcp_endpoint require_endpoint(std::string_view text)
 {
     const auto parsed = parse_endpoint(text);
@@ -104,7 +113,7 @@
       dispatcher_(context_), entry_(context_, dispatcher_, number(session)), timers_(executor_),
       caller_server_(std::make_unique<http_server>(
           executor_, listen_at(settings_, settings_.caller_port), http_server_limits{},
-          [this](http_request request) { return entry_.serve(std::move(request)); })),
+          [this](http_request request) { return serve_caller(std::move(request)); })),
       operator_server_(std::make_unique<http_server>(
           executor_, listen_at(settings_, settings_.operator_port), http_server_limits{},
           [this](http_request request) { return serve_operator(std::move(request)); }))
@@ -130,7 +139,7 @@
         return;
     stopping_ = true;
     stopped_ = std::move(done);
-    caller_server_->drain();
+    caller_server_->drain(drain_time);
     decisions_.stop(boot_clock::now());
     act();
 }
@@ -142,20 +151,20 @@
     act();
     const bool idle =
         caller_server_->active() == 0 && dispatcher_.at_work() == 0 && peer_server_->active() == 0;
-    if (stopping_ && stopped_ && idle && decisions_.stopped())
+    if (stopping_ && stopped_ && idle && caller_server_->drained() && decisions_.stopped())
         std::exchange(stopped_, nullptr)();
 }
 
 /// Carries out what the coordinator decided.
 void instance::act()
 {
-    for (auto& action : decisions_.take_actions()) {
-        if (auto* send = std::get_if<send_action>(&action)) {
+    for (const auto& action : decisions_.take_actions()) {
+        if (const auto* send = std::get_if<send_action>(&action)) {
             if (const auto to = peer_endpoint(decisions_.state(), send->to))
                 channel_->send({to->address(), to->port()}, send->message);
         }
-        else if (auto* record = std::get_if<append_action>(&action))
-            asio::co_spawn(executor_, append(std::move(record->record)), asio::detached);
+        else if (const auto* record = std::get_if<append_action>(&action))
+            asio::co_spawn(executor_, append(record->record), asio::detached);
         else if (const auto* revoke = std::get_if<revoke_action>(&action))
             dispatcher_.revoke(*revoke);
         else if (const auto* right = std::get_if<dispatcher_action>(&action))
@@ -324,6 +333,18 @@
     }
 }
 
+asio::awaitable<http_response> instance::serve_caller(http_request request)
+{
+    const auto service = decisions_.state().find_service(service_name(request));
+    auto response = co_await entry_.serve(std::move(request));
+    if (service) {
+        const auto code = std::string{response["tt-code"]};
+        windows_[*service].note_answer(class_of(static_cast<result_code>(std::atoi(code.c_str()))),
+                                       boot_clock::now());
+    }
+    co_return response;
+}
+
 asio::awaitable<http_response> instance::serve_peer(http_request request)
 {
     const auto path = path_of(request);
@@ -333,8 +354,8 @@
         if (!above.empty() && std::to_string(number(decisions_.state().position())) == above)
             co_return make_response(204, "");
         Json::Value chunks{Json::arrayValue};
-        for (auto& chunk : decisions_.state().snapshot())
-            chunks.append(std::move(chunk));
+        for (const auto& chunk : decisions_.state().snapshot())
+            chunks.append(chunk);
         co_return make_response(200, json_text(chunks), "application/json");
     }
     if (path == "/peer/marks" && request.method() == http::verb::post) {
@@ -388,12 +409,70 @@
     measured_.set("platform_up", platform_up_ ? 1 : 0);
     measured_.set("sessions", static_cast<double>(state.sessions().size()));
     measured_.set("unreleased_slots", static_cast<double>(state.unreleased().size()));
-    measured_.set("moves_seen_total", static_cast<double>(decisions_.moves_seen()));
+    std::uint64_t moves = 0;
+    for (const auto& [service, count] : decisions_.moves_seen()) {
+        moves += count;
+        auto& noted = moves_noted_[service];
+        windows_[service].note_moves(count - noted, boot_clock::now());
+        noted = count;
+    }
+    measured_.set("moves_seen_total", static_cast<double>(moves));
     measured_.set("peer_bytes_sent_total", static_cast<double>(channel_->bytes_sent()));
     measured_.set("peer_malformed_total", static_cast<double>(channel_->malformed()));
 }
 
-std::string instance::status() const
+/// @returns what this instance knows of a target.
+Json::Value instance::target_status(target_id target, std::uint64_t owned, time_point now) const
+{
+    const auto& state = decisions_.state();
+    const auto& known = state.targets()[number(target)];
+    Json::Value entry;
+    entry["name"] = known.name;
+    entry["service"] = state.services()[number(known.service)].name;
+    entry["up"] = known.condition == target_condition::up;
+    entry["accepts"] = state.accepts_slots(target);
+    entry["slots_owned"] = static_cast<Json::UInt64>(owned);
+    entry["dispatcher"] = static_cast<Json::UInt64>(number(decisions_.likely_dispatcher(target, now)));
+    if (decisions_.dispatches(target, now)) {
+        const auto token = decisions_.token(target).value_or(dispatcher_token{});
+        entry["lease"]["voters"] = static_cast<Json::UInt64>(number(token.voter_set));
+        entry["lease"]["term"] = static_cast<Json::UInt64>(number(token.term));
+        entry["lease"]["left_ms"] =
+            static_cast<Json::Int64>((decisions_.lease_until(target) - now) / milliseconds{1});
+        const auto [running, waiting] = dispatcher_.usage(target);
+        entry["running"] = running;
+        entry["waiting"] = static_cast<Json::UInt64>(waiting);
+    }
+    if (const auto load = decisions_.loads().find(target); load != decisions_.loads().end())
+        entry["busy_ms_per_s"] = load->second.load;
+    return entry;
+}
+
+/// @returns the hour's figures of a service; the imbalance covers the targets whose load this instance knows.
+Json::Value instance::service_status(service_id service, time_point now)
+{
+    const auto& state = decisions_.state();
+    double sum = 0;
+    double most = 0;
+    std::size_t known = 0;
+    for (const auto& [target, load] : decisions_.loads()) {
+        if (number(target) >= state.targets().size() || state.targets()[number(target)].service != service)
+            continue;
+        sum += load.load;
+        most = std::max<double>(most, load.load);
+        ++known;
+    }
+    Json::Value entry;
+    entry["loads_known"] = static_cast<Json::UInt64>(known);
+    if (sum > 0)
+        entry["imbalance"] = most * static_cast<double>(known) / sum;
+    entry["moves_last_hour"] = static_cast<Json::UInt64>(windows_[service].moves(now));
+    entry["unavailable_seconds_last_hour"] =
+        static_cast<Json::UInt64>(windows_[service].unavailable_seconds(now));
+    return entry;
+}
+
+std::string instance::status()
 {
     const auto& state = decisions_.state();
     const auto now = boot_clock::now();
@@ -424,33 +503,16 @@
                 ++owned[number(slot.owner)];
         }
     }
-    for (std::uint32_t index = 0; index < state.targets().size(); ++index) {
-        const auto& target = state.targets()[index];
-        Json::Value entry;
-        entry["name"] = target.name;
-        entry["service"] = state.services()[number(target.service)].name;
-        entry["up"] = target.condition == target_condition::up;
-        entry["accepts"] = state.accepts_slots(target_id{index});
-        entry["slots_owned"] = static_cast<Json::UInt64>(owned[index]);
-        entry["dispatcher"] =
-            static_cast<Json::UInt64>(number(decisions_.likely_dispatcher(target_id{index}, now)));
-        if (decisions_.dispatches(target_id{index}, now)) {
-            const auto token = decisions_.token(target_id{index}).value_or(dispatcher_token{});
-            entry["lease"]["voters"] = static_cast<Json::UInt64>(number(token.voter_set));
-            entry["lease"]["term"] = static_cast<Json::UInt64>(number(token.term));
-            entry["lease"]["left_ms"] =
-                static_cast<Json::Int64>((decisions_.lease_until(target_id{index}) - now) / milliseconds{1});
-            const auto [running, waiting] = dispatcher_.usage(target_id{index});
-            entry["running"] = running;
-            entry["waiting"] = static_cast<Json::UInt64>(waiting);
-        }
-        if (const auto load = decisions_.loads().find(target_id{index}); load != decisions_.loads().end())
-            entry["busy_ms_per_s"] = load->second.load;
-        out["targets"].append(entry);
-    }
+    for (std::uint32_t index = 0; index < state.targets().size(); ++index)
+        out["targets"].append(target_status(target_id{index}, owned[index], now));
+    std::uint64_t moves = 0;
+    for (const auto& [service, count] : decisions_.moves_seen())
+        moves += count;
+    for (std::uint32_t index = 0; index < state.services().size(); ++index)
+        out["services"][state.services()[index].name] = service_status(service_id{index}, now);
     out["unreleased_slots"] = static_cast<Json::UInt64>(state.unreleased().size());
     out["hot_keys"] = static_cast<Json::UInt64>(state.hot_keys().size());
-    out["moves_seen"] = static_cast<Json::UInt64>(decisions_.moves_seen());
+    out["moves_seen"] = static_cast<Json::UInt64>(moves);
     for (const auto& [fingerprint, crashes] : quarantine_.list(now)) {
         Json::Value entry;
         entry["fingerprint"] = static_cast<Json::UInt64>(fingerprint);
--- a/src/net/target_link.cpp
+++ b/src/net/target_link.cpp
@@ -104,7 +104,8 @@
     const auto sent = boot_clock::now();
     Json::Value body;
     body["token"] = token_json(token_);
-    const bool leased = context_.decisions.dispatches(target_, sent);
+    // A target that is down gets no grants, so that the last one lapses and its slots can be released.
+    const bool leased = up_ && context_.decisions.dispatches(target_, sent);
     body["expires_at_ms"] =
         static_cast<Json::UInt64>(clock_known_ && leased ? target_clock(sent + grant_lifetime) : 0);
     body["slots"] = Json::Value{Json::arrayValue};
@@ -217,7 +218,8 @@
         if (!co_await grant(order))
             co_return work_result{result_code::not_run_unreachable, {}, {}, probe_interval};
     }
-    const dispatch_request wanted{target_, order.service, order.key, order.relied_on, order.deadline};
+    const dispatch_request wanted{target_,         order.service,  order.key,
+                                  order.relied_on, order.deadline, !order.idempotency_key.empty()};
     if (const auto refusal = context_.decisions.check(wanted, boot_clock::now()))
         co_return work_result{refusal->code, {}, refusal->holder, {}};
 
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -6,13 +6,14 @@
 namespace teaseltally {
 namespace {
 
-double mean_utilisation(std::span<const placement_target> targets)
+/// Mean utilisation of the capacity in use, or of the whole capacity.
+double mean_utilisation(std::span<const placement_target> targets, bool whole)
 {
     double load = 0.0;
     double capacity = 0.0;
     for (const auto& target : targets) {
         load += target.load;
-        capacity += target.capacity;
+        capacity += target.capacity * (whole ? 1.0 : target.share);
     }
     return capacity > 0.0 ? load / capacity : 0.0;
 }
@@ -30,8 +31,8 @@
     for (auto& item : items) {
         if (item.owner != from.id || item.load <= 0.0)
             continue;
-        const double after = (to.load + item.load) / to.capacity;
-        const double remaining = (from.load - item.load) / from.capacity;
+        const double after = (to.load + item.load) / (to.capacity * to.share);
+        const double remaining = (from.load - item.load) / (from.capacity * from.share);
         if (std::max(after, remaining) >= from.utilisation())
             continue;
         const bool fits_better =
@@ -71,8 +72,8 @@
                                           std::vector<placement_target> targets, const balance_limits& limits)
 {
     std::vector<placement_move> moves;
-    const double mean = mean_utilisation(targets);
-    if (targets.size() < 2 || mean < limits.least_utilisation)
+    const double mean = mean_utilisation(targets, false);
+    if (targets.size() < 2 || mean_utilisation(targets, true) < limits.least_utilisation)
         return moves;
     const auto hottest = [&] { return std::ranges::max_element(targets, less_utilised); };
     if (hottest()->utilisation() <= mean * limits.start_ratio)
--- a/standins/standin_target.cpp
+++ b/standins/standin_target.cpp
@@ -77,7 +77,7 @@
         out["clock_ms"] = static_cast<Json::UInt64>(clock_ms());
         out["granted"] = static_cast<Json::UInt64>(granted_.size());
         out["draining"] = draining_;
-        out["running"] = static_cast<Json::UInt64>(running_);
+        out["running"] = static_cast<Json::UInt64>(claims_idle_ ? 0 : running_);
         return make_response(status, json_text(out), "application/json");
     }
 
@@ -145,6 +145,7 @@
         const auto& value = std::get<Json::Value>(parsed);
         draining_ = value.get("draining", draining_).asBool();
         slowness_ = value.get("slowness", slowness_).asDouble();
+        claims_idle_ = value.get("claims_idle", claims_idle_).asBool();
         if (const auto freeze = value.get("freeze_ms", 0).asInt64(); freeze > 0) {
             const timespec pause{freeze / 1000, freeze % 1000 * 1'000'000};
             nanosleep(&pause, nullptr);
@@ -257,6 +258,7 @@
     std::map<std::string, std::uint64_t> busy_;
     std::uint64_t running_ = 0;
     bool draining_ = false;
+    bool claims_idle_ = false;
     double slowness_ = 1.0;
 };
 
--- a/tests/check_history.cpp
+++ b/tests/check_history.cpp
@@ -2,6 +2,7 @@
 
 #include "support/history.hpp"
 
+#include <algorithm>
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -19,6 +20,31 @@
     return text.str();
 }
 
+/// Prints how evenly targets worked and how much of it reached a caller.
+void print_work(const history::records& all)
+{
+    std::size_t undelivered = 0;
+    for (const auto& run : all.runs) {
+        const auto caller = all.invocations.find(run.request);
+        undelivered += caller == all.invocations.end() || caller->second.answer != "done" ? 1 : 0;
+    }
+    std::map<std::string, std::map<std::string, double>> targets;
+    for (const auto& run : all.runs)
+        targets[run.target.substr(0, run.target.rfind('-'))][run.target] += double(run.end - run.start);
+    for (const auto& [service, times] : targets) {
+        double sum = 0;
+        double most = 0;
+        for (const auto& [target, time] : times) {
+            sum += time;
+            most = std::max(most, time);
+        }
+        std::cout << "imbalance " << service << " " << (sum > 0 ? most * double(times.size()) / sum : 0.0)
+                  << "\n";
+    }
+    std::cout << "undelivered " << undelivered << "\nattempts "
+              << double(all.runs.size()) / std::max<double>(1.0, double(all.invocations.size())) << "\n";
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -32,6 +58,7 @@
     const auto broken = history::check_all(all);
     for (const auto& problem : broken)
         std::cout << problem << "\n";
+    print_work(all);
     std::cout << "history: " << all.invocations.size() << " invocations, " << all.runs.size() << " runs, "
               << broken.size() << " broken guarantees\n";
     return broken.empty() && !all.invocations.empty() && !all.runs.empty() ? 0 : 1;
--- /dev/null
+++ b/tests/configuration_tests.cpp
@@ -0,0 +1,108 @@
+#include <teaseltally/configuration.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace teaseltally;
+
+namespace {
+
+constexpr auto good = "[deployment]\nname = t\n[data_centre.east]\nregion = r\n"
+                      "[service.ledger]\nkeyed = true\nslots = 8\n"
+                      "[target.a]\nservice = ledger\ndata_centre = east\naddress = 127.0.0.1:1\n";
+
+/// A fault in the base document and what the message must name.
+struct fault_case {
+    const char* name;
+    const char* base;
+    std::vector<const char*> named;
+};
+
+const std::vector<fault_case> faults{
+    {"an unknown key", "[deployment]\nname = t\nsead = 4\n", {"base.ini", "deployment", "sead", "\"seed\""}},
+    {"an unknown section",
+     "[deployment]\nname = t\n[servce.x]\nkeyed = true\n",
+     {"servce.x", "service.NAME"}},
+    {"a number out of range",
+     "[deployment]\nname = t\n[service.x]\nslots = 0\n",
+     {"base.ini", "service.x", "slots", "\"0\"", "1 to 1048576"}},
+    {"a number with a tail",
+     "[deployment]\nname = t\n[service.x]\nqueue = 7q\n",
+     {"queue", "\"7q\"", "0 to 65536"}},
+    {"a negative number", "[deployment]\nname = t\nseed = -1\n", {"seed", "\"-1\""}},
+    {"a truth value",
+     "[deployment]\nname = t\n[service.x]\nkeyed = yes\n",
+     {"keyed", "\"yes\"", "true or false"}},
+    {"a priority",
+     "[deployment]\nname = t\n[service.x]\npriority = low\n",
+     {"priority", "\"low\"", "late_tolerant"}},
+    {"a missing key",
+     "[deployment]\nname = t\n[target.a]\nservice = s\n",
+     {"target.a", "\"address\" is missing"}},
+    {"a missing section", "[service.x]\nkeyed = true\n", {"deployment", "missing"}},
+    {"an unknown service",
+     "[deployment]\nname = t\n[data_centre.e]\nregion = r\n[target.a]\nservice = s\n"
+     "data_centre = e\naddress = 1.1.1.1:1\n",
+     {"target.a", "service", "\"s\"", "[service.NAME]"}},
+    {"an address",
+     "[deployment]\nname = t\n[data_centre.e]\nregion = r\n[service.s]\nslots = 1\n[target.a]\n"
+     "service = s\ndata_centre = e\naddress = host\n",
+     {"address", "\"host\"", "IP:PORT"}},
+    {"a deadline above its bound",
+     "[deployment]\nname = t\n[service.s]\ndeadline_ms = 900\nmax_deadline_ms = 800\n",
+     {"deadline_ms", "\"900\"", "max_deadline_ms"}},
+    {"a grace that is too short",
+     "[deployment]\nname = t\n[service.s]\nisolation_grace_ms = 10\n",
+     {"isolation_grace_ms", "\"10\"", "3000"}},
+    {"a key outside sections", "name = t\n[deployment]\nname = t\n", {"name", "outside any section"}},
+    {"a repeated key", "[deployment]\nname = t\nname = u\n", {"base.ini:3"}},
+};
+
+std::string all_text(const std::vector<error>& found)
+{
+    std::string text;
+    for (const auto& each : found)
+        text += to_string(each) + "\n";
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("each fault is reported with file, section, key, value and what is allowed")
+{
+    for (const auto& each : faults) {
+        const auto parsed = parse_configuration({each.base, {}});
+        REQUIRE_MESSAGE(std::holds_alternative<std::vector<error>>(parsed), each.name);
+        const std::string text = all_text(std::get<std::vector<error>>(parsed));
+        for (const char* part : each.named)
+            CHECK_MESSAGE(text.find(part) != std::string::npos, each.name << ": " << text);
+    }
+}
+
+TEST_CASE("all faults are reported, not the first only")
+{
+    const auto parsed =
+        parse_configuration({"[deployment]\nname = t\nsead = 1\n[service.x]\nslots = 0\nkeyed = 1\n",
+                             {{"e.ini", "[service.x]\nqueue = x\n"}}});
+    const auto& found = std::get<std::vector<error>>(parsed);
+    CHECK(found.size() == 4);
+    CHECK(all_text(found).find("e.ini [service.x]") != std::string::npos);
+}
+
+TEST_CASE("an overlay goes over the base key by key")
+{
+    const auto parsed = parse_configuration({good, {{"east.ini", "[target.a]\nslots = 9\n"}}});
+    const auto* merged = std::get_if<configuration>(&parsed);
+    REQUIRE(merged != nullptr);
+    CHECK(merged->targets.at(0).slots == 9);
+    CHECK(merged->targets.at(0).address == "127.0.0.1:1");
+}
+
+TEST_CASE("instance settings name what is missing and unknown")
+{
+    const auto parsed =
+        parse_instance_settings("[instance]\nname = i\nplatfrom = 1.1.1.1:1\ncaller_port = 70000\n", "i.ini");
+    const std::string text = all_text(std::get<std::vector<error>>(parsed));
+    CHECK(text.find("\"platform\" is missing") != std::string::npos);
+    CHECK(text.find("\"platfrom\" is unknown; the nearest known key is \"platform\"") != std::string::npos);
+    CHECK(text.find("0 to 65535") != std::string::npos);
+}
--- /dev/null
+++ b/tests/policy_tests.cpp
@@ -0,0 +1,239 @@
+#include <teaseltally/admission.hpp>
+#include <teaseltally/idempotency.hpp>
+#include <teaseltally/placement.hpp>
+#include <teaseltally/request_policy.hpp>
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace teaseltally;
+
+namespace {
+
+time_point at(std::int64_t ms)
+{
+    return time_point{milliseconds{1'000'000 + ms}};
+}
+
+constexpr service_id service{0};
+
+} // namespace
+
+TEST_CASE("a target never gets more than its slots")
+{
+    const bool held = rc::check("slots", [](const std::vector<std::uint8_t>& steps) {
+        admission_queue queue({3, 5, false});
+        std::uint32_t running = 0;
+        std::int64_t now = 0;
+        for (const auto step : steps) {
+            now += step % 7;
+            if (step % 3 != 0) {
+                const auto verdict = queue.arrive(
+                    step % 2 ? work_priority::prompt : work_priority::late_tolerant, at(now + 500), at(now));
+                running += std::holds_alternative<admitted>(verdict) ? 1 : 0;
+            }
+            else if (running > 0) {
+                --running;
+                queue.finish(milliseconds{2}, false, at(now));
+                while (queue.next(at(now)))
+                    ++running;
+            }
+            RC_ASSERT(running <= 3U);
+            RC_ASSERT(running == queue.running());
+            RC_ASSERT(queue.waiting() <= 5U);
+        }
+    });
+    CHECK(held);
+}
+
+TEST_CASE("waiting requests run by priority, then deadline, and late-tolerant work is not starved")
+{
+    admission_queue queue({1, 64, false});
+    CHECK(std::holds_alternative<admitted>(queue.arrive(work_priority::prompt, at(900), at(0))));
+    const auto late = std::get<queued>(queue.arrive(work_priority::late_tolerant, at(800), at(0))).id;
+    const auto second = std::get<queued>(queue.arrive(work_priority::prompt, at(700), at(0))).id;
+    const auto first = std::get<queued>(queue.arrive(work_priority::prompt, at(600), at(0))).id;
+    queue.finish(milliseconds{2}, false, at(1));
+    CHECK(queue.next(at(1)) == first);
+    queue.finish(milliseconds{2}, false, at(1));
+    CHECK(queue.next(at(1)) == second);
+    for (int round = 0; round < 20; ++round) {
+        (void)queue.arrive(work_priority::prompt, at(900), at(1));
+        queue.finish(milliseconds{2}, false, at(1));
+        if (queue.next(at(1)) == late) {
+            CHECK(round < 9);
+            return;
+        }
+    }
+    FAIL("late-tolerant work was starved");
+}
+
+TEST_CASE("what cannot make its deadline is shed at once with a time to come back")
+{
+    admission_queue queue({1, 64, false});
+    (void)queue.arrive(work_priority::prompt, at(1000), at(0));
+    for (int round = 0; round < 40; ++round)
+        queue.finish(milliseconds{50}, false, at(0)),
+            (void)queue.arrive(work_priority::prompt, at(1000), at(0));
+    const auto verdict = queue.arrive(work_priority::prompt, at(20), at(0));
+    REQUIRE(std::holds_alternative<shed>(verdict));
+    CHECK(std::get<shed>(verdict).retry_after.count() > 0);
+}
+
+TEST_CASE("a request whose deadline passes while it waits is given up")
+{
+    admission_queue queue({1, 64, false});
+    (void)queue.arrive(work_priority::prompt, at(1000), at(0));
+    const auto id = std::get<queued>(queue.arrive(work_priority::prompt, at(30), at(0))).id;
+    CHECK(queue.expired(at(5)).empty());
+    CHECK(queue.expired(at(31)) == std::vector{id});
+    CHECK(queue.waiting() == 0);
+}
+
+TEST_CASE("a repeat joins, gets the stored answer, or is refused with another body")
+{
+    repeat_table table({});
+    const request_key key{service, "k"};
+    CHECK(std::holds_alternative<run_first>(table.arrive(key, 1, at(0))));
+    CHECK(std::holds_alternative<join_running>(table.arrive(key, 1, at(1))));
+    CHECK(std::get<refuse_repeat>(table.arrive(key, 2, at(1))).code == result_code::refused_key_reuse);
+    table.finish(key, {201, "text/plain", "body"}, at(2));
+    CHECK(std::get<repeat_answer>(table.arrive(key, 1, at(3))).answer.body == "body");
+    CHECK(std::holds_alternative<run_first>(table.arrive(key, 1, at(60'001))));
+}
+
+TEST_CASE("a run that ended in doubt is never run again within the window")
+{
+    repeat_table table({});
+    const request_key key{service, "k"};
+    (void)table.arrive(key, 1, at(0));
+    table.lose(key);
+    CHECK(std::get<refuse_repeat>(table.arrive(key, 1, at(1))).code == result_code::unknown_predecessor);
+    repeat_table successor({});
+    for (const auto& mark : table.marks(at(2)))
+        successor.adopt(mark, at(2));
+    CHECK(std::get<refuse_repeat>(successor.arrive(key, 1, at(3))).code == result_code::unknown_predecessor);
+    CHECK(std::holds_alternative<run_first>(successor.arrive(key, 1, at(60'001))));
+}
+
+TEST_CASE("a run that was never handed on may run again")
+{
+    repeat_table table({});
+    const request_key key{service, "k"};
+    (void)table.arrive(key, 1, at(0));
+    table.cancel(key);
+    CHECK(std::holds_alternative<run_first>(table.arrive(key, 1, at(1))));
+}
+
+TEST_CASE("at its bounds the table refuses new marks and forgets answers, never marks")
+{
+    repeat_table table({2, 10, milliseconds{60'000}});
+    const request_key first{service, "1"};
+    const request_key second{service, "2"};
+    (void)table.arrive(first, 1, at(0));
+    (void)table.arrive(second, 1, at(0));
+    CHECK(std::get<refuse_repeat>(table.arrive({service, "3"}, 1, at(0))).code ==
+          result_code::not_run_overloaded);
+    table.finish(first, {200, "", "12345678"}, at(0));
+    table.finish(second, {200, "", "12345678"}, at(0));
+    CHECK(table.answer_bytes() <= 10);
+    CHECK(std::get<refuse_repeat>(table.arrive(first, 1, at(1))).code == result_code::unknown_predecessor);
+    CHECK(std::holds_alternative<repeat_answer>(table.arrive(second, 1, at(1))));
+}
+
+TEST_CASE("retries stay within their share of the requests")
+{
+    const bool held = rc::check("budget", [](const std::vector<bool>& steps) {
+        retry_budget budget(10);
+        std::size_t requests = 0;
+        std::size_t retries = 0;
+        for (const bool wants_retry : steps) {
+            if (wants_retry)
+                retries += budget.spend() ? 1 : 0;
+            else {
+                ++requests;
+                budget.earn();
+            }
+            RC_ASSERT(retries * 10 <= requests + 1);
+        }
+    });
+    CHECK(held);
+}
+
+TEST_CASE("a request that crashed targets is quarantined for its time, in bounded memory")
+{
+    quarantine_table table;
+    table.note_crash(7, 1, at(0), milliseconds{1000});
+    CHECK_FALSE(table.is_quarantined(7, 2, at(1)));
+    table.note_crash(7, 1, at(2), milliseconds{1000});
+    CHECK(table.is_quarantined(7, 2, at(3)));
+    CHECK_FALSE(table.is_quarantined(7, 2, at(1003)));
+    for (std::uint64_t fingerprint = 100; fingerprint < 10'000; ++fingerprint)
+        table.note_crash(fingerprint, 1, at(4), milliseconds{1000});
+    CHECK(table.list(at(5)).size() <= 4096);
+}
+
+TEST_CASE("a target that failed this request is chosen last, and a slow one seldom")
+{
+    const std::vector<target_view> views{{target_id{0}, 0, 4, 0, microseconds{20'000}, true, false},
+                                         {target_id{1}, 0, 4, 0, microseconds{2'000}, true, false},
+                                         {target_id{2}, 0, 4, 0, microseconds{2'000}, true, true}};
+    std::map<std::size_t, int> chosen;
+    std::uint64_t random = 1;
+    for (int round = 0; round < 1000; ++round) {
+        random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+        ++chosen[choose_target(views, random)];
+    }
+    CHECK(chosen[2] == 0);
+    CHECK(chosen[1] > chosen[0]);
+    CHECK(choose_target({}, 1) == 0);
+}
+
+TEST_CASE("placement is even and moves no more than it must")
+{
+    std::vector<placement_target> targets;
+    for (std::uint32_t index = 0; index < 10; ++index)
+        targets.push_back({target_id{index}, 4.0, 0.0, 1.0});
+    std::vector<placement_item> items(256);
+    for (std::size_t index = 0; index < items.size(); ++index)
+        items[index].item = index;
+    std::map<target_id, int> owned;
+    for (const auto& move : place_items(items, targets))
+        ++owned[move.to];
+    for (const auto& [target, count] : owned)
+        CHECK((count == 25 || count == 26));
+    CHECK(place_items(items, {}).empty());
+}
+
+TEST_CASE("balancing restores the bound, within the budget, and leaves level load alone")
+{
+    const bool held = rc::check("balance", [](const std::vector<std::uint8_t>& loads) {
+        std::vector<placement_target> targets;
+        for (std::uint32_t index = 0; index < 4; ++index)
+            targets.push_back({target_id{index}, 1000.0, 0.0, 1.0});
+        std::vector<placement_item> items;
+        for (std::size_t index = 0; index < loads.size(); ++index) {
+            const target_id owner{static_cast<std::uint32_t>(index % 3)};
+            items.push_back({index, false, owner, epoch{1}, double(loads[index])});
+            targets[index % 3].load += loads[index];
+        }
+        const auto highest = [](const std::vector<placement_target>& all) {
+            return std::ranges::max(all, {}, &placement_target::utilisation).utilisation();
+        };
+        balance_limits limits;
+        limits.budget = 8;
+        const auto moves = balance_items(items, targets, limits);
+        RC_ASSERT(moves.size() <= limits.budget);
+        auto after = targets;
+        for (const auto& move : moves) {
+            after[number(move.item.owner)].load -= move.item.load;
+            after[number(move.to)].load += move.item.load;
+        }
+        RC_ASSERT(highest(after) <= highest(targets) + 1e-9);
+        RC_ASSERT(moves.empty() || highest(after) < highest(targets));
+    });
+    CHECK(held);
+    const std::vector<placement_target> level{{target_id{0}, 1000, 500, 1.0}, {target_id{1}, 1000, 520, 1.0}};
+    CHECK(balance_items({{1, false, target_id{1}, epoch{1}, 20}}, level, {}).empty());
+}
