Ask another voter when a dispatcher is lost, and deliver answers that close

Cause: outside its cell an entry asked the best ranked voter of the log's set, which after a loss is the dead one until its removal 5 s later; a frozen one drew new requests again after each timeout. Graceful stops lost answers because an answer with Connection: close counted as cut. A hand-over with a skipped term made the successor answer unknown.

Slow heads are now bounded by the read time, and 413 is readable.

--- a/daemons/teaseltally_load.cpp
+++ b/daemons/teaseltally_load.cpp
@@ -38,6 +38,8 @@
 namespace http = boost::beast::http;
 
 constexpr milliseconds entry_pause{1000};
+/// A balancer that checks readiness sends nothing to an instance that closes its connections.
+constexpr milliseconds leaving_pause{5000};
 constexpr milliseconds tail{3000};
 constexpr std::uint64_t max_outstanding = 20'000;
 
@@ -260,8 +262,10 @@
             --entry.outstanding;
             const auto* failed = std::get_if<http_failure>(&outcome);
             const auto* response = std::get_if<http_response>(&outcome);
-            if (failed != nullptr || (!FLAGS_direct && !response->keep_alive()))
+            if (failed != nullptr)
                 entry.avoid_until = boot_clock::now() + entry_pause;
+            else if (!FLAGS_direct && !response->keep_alive())
+                entry.avoid_until = boot_clock::now() + leaving_pause;
             const bool repeat = FLAGS_direct && FLAGS_policy == "retry" &&
                                 (response == nullptr || response->result_int() != 200);
             if (!repeat && (failed == nullptr || failed->sent || failed->timed_out))
--- a/include/teaseltally/coordinator.hpp
+++ b/include/teaseltally/coordinator.hpp
@@ -68,6 +68,8 @@
     target_id target{};
     bool held = false;
     dispatcher_token token;
+    /// Term of the dispatcher that handed over directly to this instance, if one did.
+    std::optional<term> handed_over;
 };
 
 /// A decision for the log.
@@ -182,6 +184,7 @@
     void heartbeat(time_point now);
     void adopt_cell(time_point now);
     void list_cell_targets();
+    [[nodiscard]] bool hears_majority(time_point now) const;
     void elect(time_point now);
     void settle_rights(time_point now);
     void balance_dispatchers(time_point now);
@@ -281,7 +284,7 @@
     std::map<target_id, time_point> claim_after_;
     std::map<target_id, term> highest_terms_;
     std::set<target_id> held_;
-    std::map<target_id, term> clean_terms_;
+    std::map<target_id, lease_resign> offered_;
     std::map<target_id, session_id> dispatcher_hints_;
     time_point hand_over_at_{};
     bool stopping_ = false;
--- a/include/teaseltally/net/dispatcher.hpp
+++ b/include/teaseltally/net/dispatcher.hpp
@@ -27,7 +27,7 @@
     void set_elsewhere(elsewhere send) { elsewhere_ = std::move(send); }
 
     /// Follows the coordinator's rights.
-    void held(target_id target, dispatcher_token token);
+    void held(const dispatcher_action& right);
     void lost(target_id target);
 
     /// Runs an order.
@@ -90,7 +90,7 @@
     [[nodiscard]] asio::awaitable<work_result> run_admitted(const work_order& order);
     [[nodiscard]] asio::awaitable<work_result> run_keyed(work_order order);
     [[nodiscard]] asio::awaitable<std::optional<work_result>> admit(const work_order& order);
-    [[nodiscard]] asio::awaitable<void> settle_marks(target_id target, dispatcher_token token);
+    [[nodiscard]] asio::awaitable<void> settle_marks(dispatcher_action right);
     [[nodiscard]] asio::awaitable<bool> copy_mark(target_id target, const request_key& key);
     [[nodiscard]] asio::awaitable<void> copy_answer(target_id target, request_key key);
     [[nodiscard]] asio::awaitable<void> find_backup(target_id target);
--- a/src/coordinator_cell.cpp
+++ b/src/coordinator_cell.cpp
@@ -166,13 +166,15 @@
             continue;
         held_.insert(answer.target);
         const auto token = holder_.token(answer.target).value_or(dispatcher_token{});
-        const auto clean = clean_terms_.find(answer.target);
-        const bool follows_clean = clean != clean_terms_.end() && next_term(clean->second) == token.term;
+        const auto offered = offered_.find(answer.target);
+        const bool direct = offered != offered_.end();
+        const bool clean = direct && offered->second.clean;
         const auto* service = state_.settings_of(state_.targets()[number(answer.target)].service);
-        const milliseconds wait =
-            service == nullptr || follows_clean ? milliseconds{} : service->max_deadline;
+        const milliseconds wait = service == nullptr || clean ? milliseconds{} : service->max_deadline;
         predecessor_until_[answer.target] = now + wait + settings_.lease.margin;
-        actions_.emplace_back(dispatcher_action{answer.target, true, token});
+        actions_.emplace_back(dispatcher_action{answer.target, true, token,
+                                                direct ? std::optional{offered->second.term} : std::nullopt});
+        offered_.erase(answer.target);
         decide(log_line("dispatcher")
                    .add("target", state_.targets()[number(answer.target)].name)
                    .add("held", 1)
@@ -188,11 +190,10 @@
         return;
     voter_.resigned(resign);
     dispatcher_hints_.erase(resign.target);
-    if (resign.clean)
-        clean_terms_[resign.target] = std::max(clean_terms_[resign.target], resign.term);
     auto& highest = highest_terms_[resign.target];
     highest = std::max(highest, resign.term);
     if (resign.successor == settings_.session && votes() && !stopping_) {
+        offered_[resign.target] = resign;
         holder_.claim(resign.target, next_term(std::max(highest, voter_.highest(resign.target))), now);
         claim_after_[resign.target] = now + settings_.lease.claim_timeout + claim_backoff;
         heartbeat(now);
@@ -265,9 +266,17 @@
     }
 }
 
+/// A claim without a majority would only use up a term.
+bool coordinator::hears_majority(time_point now) const
+{
+    const auto* own = cell();
+    const auto heard = std::ranges::count_if(own->voters, [&](session_id s) { return alive(s, now); });
+    return static_cast<std::size_t>(heard) >= majority(own->voters.size());
+}
+
 void coordinator::elect(time_point now)
 {
-    if (!votes() || stopping_ || now < voter_.renewals_only_until())
+    if (!votes() || stopping_ || now < voter_.renewals_only_until() || !hears_majority(now))
         return;
     for (const target_id target : cell_targets_) {
         if (holder_.token(target) || voter_.holder(target, now) != no_session) {
@@ -297,7 +306,7 @@
         }
         holder_.drop(target);
         held_.erase(target);
-        actions_.emplace_back(dispatcher_action{target, false, {}});
+        actions_.emplace_back(dispatcher_action{target, false, {}, {}});
         decide(log_line("dispatcher")
                    .add("target", state_.targets()[number(target)].name)
                    .add("held", 0)
@@ -318,10 +327,9 @@
             actions_.emplace_back(send_action{voter, message});
     }
     voter_.resigned(message);
-    if (clean)
-        clean_terms_[target] = *dropped;
+    offered_.erase(target);
     if (held_.erase(target) > 0) {
-        actions_.emplace_back(dispatcher_action{target, false, {}});
+        actions_.emplace_back(dispatcher_action{target, false, {}, {}});
         decide(log_line("dispatcher")
                    .add("target", state_.targets()[number(target)].name)
                    .add("held", 0)
--- a/src/net/dispatcher.cpp
+++ b/src/net/dispatcher.cpp
@@ -1,3 +1,4 @@
+#include <teaseltally/count_guard.hpp>
 #include <teaseltally/net/dispatcher.hpp>
 
 #include <teaseltally/json.hpp>
@@ -19,20 +20,6 @@
 constexpr milliseconds mark_collect_limit{800};
 constexpr milliseconds backup_interval{500};
 
-/// Counts a scope.
-class count_guard {
-public:
-    explicit count_guard(std::size_t& count) : count_(count) { ++count_; }
-    ~count_guard() { --count_; }
-    count_guard(const count_guard&) = delete;
-    count_guard& operator=(const count_guard&) = delete;
-    count_guard(count_guard&&) = delete;
-    count_guard& operator=(count_guard&&) = delete;
-
-private:
-    std::size_t& count_;
-};
-
 Json::Value mark_json(const start_mark& mark)
 {
     Json::Value out;
@@ -127,8 +114,9 @@
     return {std::min(settings->slots, settings->connections), service->queue, !service->keyed};
 }
 
-void dispatcher::held(target_id target, dispatcher_token token)
+void dispatcher::held(const dispatcher_action& right)
 {
+    const auto [target, token] = std::pair{right.target, right.token};
     const auto* settings = context_.decisions.state().settings_of(target);
     if (settings == nullptr)
         return;
@@ -144,7 +132,7 @@
     desk.link = std::make_shared<target_link>(context_, target, token, std::get<tcp_endpoint>(address));
     desk.link->start();
     desks_.emplace(target, std::move(desk));
-    asio::co_spawn(context_.executor, settle_marks(target, token), asio::detached);
+    asio::co_spawn(context_.executor, settle_marks(right), asio::detached);
 }
 
 void dispatcher::lost(target_id target)
@@ -459,13 +447,17 @@
 }
 
 /// Collects the marks of earlier dispatchers and decides whether they are complete.
-asio::awaitable<void> dispatcher::settle_marks(target_id target, dispatcher_token token)
+asio::awaitable<void> dispatcher::settle_marks(dispatcher_action right)
 {
+    const target_id target = right.target;
+    const dispatcher_token token = right.token;
     const auto& state = context_.decisions.state();
     const auto cell = state.cells().find(state.cell_of(target));
     const bool first =
         number(token.term) == 1 && cell != state.cells().end() && cell->second.reset_at == no_epoch;
-    const auto follows = [&](term as_of) { return number(as_of) + 1 >= number(token.term); };
+    const auto follows = [&](term as_of) {
+        return number(as_of) + 1 >= number(token.term) || (right.handed_over && as_of >= *right.handed_over);
+    };
     auto& own = book(target);
     bool complete = first || (own.complete && follows(own.as_of));
     for (const session_id peer : cell_peers(target)) {
--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -1,3 +1,4 @@
+#include <teaseltally/count_guard.hpp>
 #include <teaseltally/net/entry.hpp>
 
 #include <teaseltally/log_line.hpp>
@@ -24,6 +25,8 @@
 /// Time without any answer after which another instance is asked first.
 constexpr milliseconds progress_limit{400};
 constexpr milliseconds unreachable_time{500};
+/// Time for which an instance that let a request time out without answering any is asked last.
+constexpr milliseconds silent_time{2000};
 
 std::optional<std::uint64_t> parse_number(std::string_view text)
 {
@@ -95,20 +98,6 @@
     return method == http::verb::get || method == http::verb::head || method == http::verb::options;
 }
 
-/// Counts a request that is outstanding at a target.
-class outstanding_guard {
-public:
-    explicit outstanding_guard(std::uint32_t& count) : count_(count) { ++count_; }
-    ~outstanding_guard() { --count_; }
-    outstanding_guard(const outstanding_guard&) = delete;
-    outstanding_guard& operator=(const outstanding_guard&) = delete;
-    outstanding_guard(outstanding_guard&&) = delete;
-    outstanding_guard& operator=(outstanding_guard&&) = delete;
-
-private:
-    std::uint32_t& count_;
-};
-
 std::optional<result_code> parse_code(std::string_view text)
 {
     const auto value = parse_number(text);
@@ -379,7 +368,7 @@
 asio::awaitable<work_result> entry_router::attempt(const work_order& order, session_id at)
 {
     auto& record = records_[order.target];
-    const outstanding_guard counted(record.outstanding);
+    const count_guard counted(record.outstanding);
     const auto begun = boot_clock::now();
     work_result result{result_code::not_run_no_owner, {}, {}, {}};
     if (at == context_.decisions.settings().session)
@@ -414,14 +403,19 @@
     auto& peer = peers_[at];
     if (peer.outstanding == 0)
         peer.progress = boot_clock::now();
+    const auto sent = boot_clock::now();
     http_outcome outcome;
     {
-        const outstanding_guard counted(peer.outstanding);
+        const count_guard counted(peer.outstanding);
         outcome = co_await context_.client.exchange(*address, std::move(request), order.deadline);
     }
     if (const auto* failed = std::get_if<http_failure>(&outcome)) {
         if (!failed->timed_out)
             peer.unreachable_until = boot_clock::now() + unreachable_time;
+        else if (peer.progress <= sent) {
+            peer.unreachable_until = boot_clock::now() + silent_time;
+            hints_.erase(order.target);
+        }
         if (!failed->sent)
             co_return work_result{result_code::not_run_unreachable, {}, {}, {}};
         co_return work_result{failed->timed_out ? result_code::unknown_deadline
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -1,3 +1,4 @@
+#include <teaseltally/count_guard.hpp>
 #include <teaseltally/net/http.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -10,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <array>
 #include <charconv>
 #include <sys/socket.h>
 
@@ -19,6 +21,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::system::error_code;
+constexpr std::size_t first_read_bytes = 4096;
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
 /// @returns whether a kept connection is closed or holds bytes that nobody asked for.
@@ -140,7 +143,7 @@
     parser.body_limit(limits_.body_bytes);
     if (const auto [failed, read] = co_await http::async_read(*stream, buffer, parser, as_result); failed)
         co_return make_failure(true, failed);
-    if (parser.get().need_eof())
+    if (!parser.get().has_content_length() && !parser.get().chunked() && parser.get().need_eof())
         co_return http_failure{true, false, "response without a length"};
     if (parser.keep_alive() && buffer.size() == 0)
         held.keep();
@@ -183,11 +186,26 @@
     asio::awaitable<void> accept();
     asio::awaitable<void> close_after(milliseconds idle_time);
     void close();
+    using request_parser = http::request_parser<http::string_body>;
+    asio::awaitable<error_code> read_request(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                             request_parser& parser);
+    asio::awaitable<void> refuse_body(beast::tcp_stream& stream);
     asio::awaitable<void> serve(beast::tcp_stream stream);
 };
 
 namespace {
 
+http_response to_answer_too_large()
+{
+    const auto code = result_code::refused_too_large;
+    auto response = make_response(413, std::string{name_of(code)} + "\n");
+    response.set("tt-class", name_of(class_of(code)));
+    response.set("tt-code", std::to_string(static_cast<int>(code)));
+    response.keep_alive(false);
+    response.prepare_payload();
+    return response;
+}
+
 /// Returns when the other side has closed its connection.
 asio::awaitable<void> wait_closed(asio::ip::tcp::socket& socket)
 {
@@ -236,44 +254,67 @@
     }
 }
 
+/// Waits for the next request, for the idle time, and reads it within the read time.
+asio::awaitable<error_code> http_server::shared::read_request(beast::tcp_stream& stream,
+                                                              beast::flat_buffer& buffer,
+                                                              request_parser& parser)
+{
+    if (buffer.size() == 0) {
+        idle.insert(&stream);
+        stream.expires_after(limits.idle_time);
+        const auto [failed, count] =
+            co_await stream.async_read_some(buffer.prepare(first_read_bytes), as_result);
+        idle.erase(&stream);
+        if (failed)
+            co_return failed;
+        buffer.commit(count);
+    }
+    stream.expires_after(limits.read_time);
+    const auto [failed, count] = co_await http::async_read(stream, buffer, parser, as_result);
+    co_return failed;
+}
+
+/// Answers 413 and takes in what the caller still sends, so that it can read the answer.
+asio::awaitable<void> http_server::shared::refuse_body(beast::tcp_stream& stream)
+{
+    auto response = to_answer_too_large();
+    stream.expires_after(limits.write_time);
+    co_await http::async_write(stream, response, as_result);
+    error_code ignored;
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    std::array<char, 4096> rest{};
+    std::size_t taken = 0;
+    while (taken < limits.body_bytes + rest.size()) {
+        const auto [failed, count] = co_await stream.async_read_some(asio::buffer(rest), as_result);
+        if (failed)
+            co_return;
+        taken += count;
+    }
+}
+
 asio::awaitable<void> http_server::shared::serve(beast::tcp_stream stream)
 {
     using namespace asio::experimental::awaitable_operators;
     const auto self = shared_from_this();
-    ++connections;
+    const count_guard connected(connections);
     beast::flat_buffer buffer;
     bool open = true;
     while (open && !closed) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(limits.body_bytes);
-        idle.insert(&stream);
-        stream.expires_after(limits.idle_time);
-        if (buffer.size() == 0) {
-            const auto [failed, read] = co_await http::async_read_some(stream, buffer, parser, as_result);
-            if (failed) {
-                idle.erase(&stream);
-                break;
-            }
-        }
-        idle.erase(&stream);
-        stream.expires_after(limits.read_time);
-        const auto [failed, read] = co_await http::async_read(stream, buffer, parser, as_result);
+        const auto failed = co_await read_request(stream, buffer, parser);
         if (failed == http::error::body_limit) {
-            auto response = make_response(413, "request body exceeds the limit\n");
-            response.set("tt-class", name_of(result_class::refused));
-            response.keep_alive(false);
-            co_await http::async_write(stream, response, as_result);
+            co_await refuse_body(stream);
             break;
         }
         if (failed)
             break;
-        ++active;
+        const count_guard answering(active);
         auto request = parser.release();
         const bool keep = request.keep_alive();
         const unsigned version = request.version();
         stream.expires_never();
         auto outcome = co_await (handle(std::move(request)) || wait_closed(stream.socket()));
-        --active;
         if (outcome.index() != 0)
             break;
         auto response = std::get<0>(std::move(outcome));
@@ -288,7 +329,6 @@
     }
     error_code ignored;
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    --connections;
 }
 
 http_server::http_server(asio::any_io_executor executor, const tcp_endpoint& at, http_server_limits limits,
--- a/src/net/instance.cpp
+++ b/src/net/instance.cpp
@@ -168,7 +168,7 @@
         else if (const auto* revoke = std::get_if<revoke_action>(&action))
             dispatcher_.revoke(*revoke);
         else if (const auto* right = std::get_if<dispatcher_action>(&action))
-            right->held ? dispatcher_.held(right->target, right->token) : dispatcher_.lost(right->target);
+            right->held ? dispatcher_.held(*right) : dispatcher_.lost(right->target);
         else if (const auto* decision = std::get_if<decision_action>(&action))
             log_(decision->line);
     }
--- /dev/null
+++ b/tests/http_tests.cpp
@@ -0,0 +1,208 @@
+#include <teaseltally/net/http.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+using namespace teaseltally;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+const tcp_endpoint any_port{asio::ip::make_address("127.0.0.1"), 0};
+
+/// Runs a coroutine to its end on an executor that also runs servers.
+template <typename Work>
+void run(asio::io_context& io, Work work)
+{
+    std::exception_ptr thrown;
+    asio::co_spawn(io, std::move(work), [&](std::exception_ptr problem) {
+        thrown = problem;
+        io.stop();
+    });
+    io.run();
+    if (thrown)
+        std::rethrow_exception(thrown);
+}
+
+time_point soon(milliseconds limit = milliseconds{5000})
+{
+    return boot_clock::now() + limit;
+}
+
+/// Answers each connection with fixed bytes after its first request, then closes.
+asio::awaitable<void> answer_with(asio::ip::tcp::acceptor& acceptor, std::string bytes)
+{
+    while (true) {
+        auto [failed, socket] = co_await acceptor.async_accept(as_result);
+        if (failed)
+            co_return;
+        asio::streambuf buffer;
+        co_await asio::async_read_until(socket, buffer, "\r\n\r\n", as_result);
+        co_await asio::async_write(socket, asio::buffer(bytes), as_result);
+    }
+}
+
+/// Bytes that a target sends and what its client makes of them.
+struct answer_case {
+    const char* name;
+    const char* bytes;
+    bool whole;
+};
+
+const std::vector<answer_case> answers{
+    {"a whole answer", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", true},
+    {"a whole answer that closes", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab",
+     true},
+    {"a whole chunked answer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+     true},
+    {"an answer cut in its body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", false},
+    {"an answer cut in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", false},
+    {"an answer cut in its head", "HTTP/1.1 200 OK\r\nContent-Le", false},
+    {"an answer without a length", "HTTP/1.1 200 OK\r\n\r\nab", false},
+    {"no answer", "", false},
+    {"no HTTP", "hello there\r\n\r\n", false},
+};
+
+} // namespace
+
+TEST_CASE("a cut answer is an error, never a short success")
+{
+    for (const auto& each : answers) {
+        asio::io_context io(1);
+        asio::ip::tcp::acceptor acceptor(io, any_port);
+        asio::co_spawn(io, answer_with(acceptor, each.bytes), asio::detached);
+        http_client client(io.get_executor(), {});
+        run(io, [&]() -> asio::awaitable<void> {
+            auto request = make_request(http::verb::get, "/");
+            const auto outcome =
+                co_await client.exchange(acceptor.local_endpoint(), std::move(request), soon());
+            CHECK_MESSAGE(std::holds_alternative<http_response>(outcome) == each.whole, each.name);
+            if (const auto* failed = std::get_if<http_failure>(&outcome))
+                CHECK_MESSAGE(failed->sent, each.name);
+            else
+                CHECK(std::get<http_response>(outcome).body() == "ab");
+        });
+    }
+}
+
+TEST_CASE("a late answer never reaches the next request")
+{
+    asio::io_context io(1);
+    http_server server(io.get_executor(), any_port, {},
+                       [](http_request request) -> asio::awaitable<http_response> {
+                           if (request.target() == "/slow")
+                               co_await sleep_for(milliseconds{60});
+                           co_return make_response(200, std::string{request.target()});
+                       });
+    http_client client(io.get_executor(), {});
+    run(io, [&]() -> asio::awaitable<void> {
+        auto slow = make_request(http::verb::get, "/slow");
+        const auto late = co_await client.exchange(server.local(), std::move(slow), soon(milliseconds{20}));
+        REQUIRE(std::holds_alternative<http_failure>(late));
+        CHECK(std::get<http_failure>(late).timed_out);
+        CHECK(std::get<http_failure>(late).sent);
+        for (int round = 0; round < 20; ++round) {
+            auto quick = make_request(http::verb::get, "/quick");
+            const auto outcome = co_await client.exchange(server.local(), std::move(quick), soon());
+            REQUIRE(std::holds_alternative<http_response>(outcome));
+            CHECK(std::get<http_response>(outcome).body() == "/quick");
+            co_await sleep_for(milliseconds{5});
+        }
+        CHECK(client.connections(server.local()) == 1);
+    });
+}
+
+TEST_CASE("a refused permit or connection means that nothing was sent")
+{
+    asio::io_context io(1);
+    std::size_t served = 0;
+    http_server server(io.get_executor(), any_port, {}, [&](http_request) -> asio::awaitable<http_response> {
+        ++served;
+        co_return make_response(200, "");
+    });
+    tcp_endpoint closed;
+    {
+        const asio::ip::tcp::acceptor acceptor(io, any_port);
+        closed = acceptor.local_endpoint();
+    }
+    http_client client(io.get_executor(), {});
+    run(io, [&]() -> asio::awaitable<void> {
+        auto denied = make_request(http::verb::get, "/");
+        http_client::write_permit no = [] { return false; };
+        const auto outcome =
+            co_await client.exchange(server.local(), std::move(denied), soon(), std::move(no));
+        CHECK_FALSE(std::get<http_failure>(outcome).sent);
+        auto unheard = make_request(http::verb::get, "/");
+        const auto refused = co_await client.exchange(closed, std::move(unheard), soon());
+        CHECK_FALSE(std::get<http_failure>(refused).sent);
+        CHECK(served == 0);
+    });
+}
+
+TEST_CASE("a server bounds bodies and slow callers, and cancels for callers that left")
+{
+    asio::io_context io(1);
+    http_server_limits limits;
+    limits.body_bytes = 10;
+    limits.read_time = milliseconds{50};
+    bool cancelled = false;
+    http_server server(io.get_executor(), any_port, limits,
+                       [&](http_request) -> asio::awaitable<http_response> {
+                           try {
+                               co_await sleep_for(milliseconds{3000});
+                               co_await sleep_for(milliseconds{1});
+                           }
+                           catch (const boost::system::system_error&) {
+                               cancelled = true;
+                               throw;
+                           }
+                           co_return make_response(200, "");
+                       });
+    http_client client(io.get_executor(), {});
+    run(io, [&]() -> asio::awaitable<void> {
+        auto large = make_request(http::verb::post, "/", "12345678901");
+        const auto outcome = co_await client.exchange(server.local(), std::move(large), soon());
+        REQUIRE(std::holds_alternative<http_response>(outcome));
+        CHECK(std::get<http_response>(outcome).result_int() == 413);
+        asio::ip::tcp::socket slow(io);
+        co_await slow.async_connect(server.local(), as_result);
+        co_await asio::async_write(slow, asio::buffer("POST / HTTP/1.1\r\nContent-Le", 27), as_result);
+        char byte = 0;
+        const auto [ended, count] = co_await slow.async_read_some(asio::buffer(&byte, 1), as_result);
+        CHECK(ended);
+        auto left = make_request(http::verb::get, "/");
+        (void)co_await client.exchange(server.local(), std::move(left), soon(milliseconds{30}));
+        co_await sleep_for(milliseconds{200});
+        CHECK(cancelled);
+        CHECK(server.active() == 0);
+    });
+}
+
+TEST_CASE("a draining server answers what still comes and closes the connection")
+{
+    asio::io_context io(1);
+    http_server server(io.get_executor(), any_port, {}, [](http_request) -> asio::awaitable<http_response> {
+        co_return make_response(200, "served");
+    });
+    http_client client(io.get_executor(), {});
+    run(io, [&]() -> asio::awaitable<void> {
+        auto before = make_request(http::verb::get, "/");
+        (void)co_await client.exchange(server.local(), std::move(before), soon());
+        server.drain(milliseconds{100});
+        auto during = make_request(http::verb::get, "/");
+        const auto outcome = co_await client.exchange(server.local(), std::move(during), soon());
+        REQUIRE(std::holds_alternative<http_response>(outcome));
+        CHECK(std::get<http_response>(outcome).body() == "served");
+        CHECK_FALSE(std::get<http_response>(outcome).keep_alive());
+        co_await sleep_for(milliseconds{300});
+        CHECK(server.drained());
+    });
+}
