--- a/src/net/dispatcher.cpp
+++ b/src/net/dispatcher.cpp
@@ -209,6 +209,9 @@
         co_return work_result{result_code::not_run_overloaded, {}, {}, turned_away->retry_after};
     const auto id = std::get<queued>(verdict).id;
     const auto waiting = std::make_shared<waiter>(context_.executor);
+    const microseconds patience =
+        order.deadline - found->second.queue.mean_service_time() - boot_clock::now();
+    waiting->timer.expires_after(std::max<microseconds>(patience, microseconds{0}));
     found->second.waiters[id] = waiting;
     try {
         co_await waiting->timer.async_wait(as_result);
--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds least_retry_after{100};
 constexpr double newest_weight = 0.2;
 constexpr std::size_t max_header_value = 256;
+/// Part of the time left that a forward keeps for the way back, at most a tenth.
+constexpr milliseconds hop_allowance{5};
 /// Time without any answer after which another instance is asked first.
 constexpr milliseconds progress_limit{400};
 constexpr milliseconds unreachable_time{500};
@@ -399,7 +401,9 @@
     if (!address)
         co_return work_result{result_code::not_run_no_owner, {}, {}, {}};
     http_request request = order.request;
-    const auto left = std::chrono::floor<milliseconds>(order.deadline - boot_clock::now());
+    // The hop's answer must be back before this side gives up.
+    const auto whole = std::chrono::floor<milliseconds>(order.deadline - boot_clock::now());
+    const auto left = whole - std::min(hop_allowance, whole / 10);
     request.set("tt-service", state.services()[number(order.service)].name);
     request.set("tt-target", state.targets()[number(order.target)].name);
     request.set("tt-hash", std::to_string(number(order.key)));
--- a/standins/standin_target.cpp
+++ b/standins/standin_target.cpp
@@ -7,12 +7,14 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <limits>
 
 DEFINE_int32(port, 0, "port to listen on; 0 takes one from the system");
 DEFINE_string(port_file, "", "file to write the port to");
@@ -223,6 +225,26 @@
         bool whole_ = false;
     };
 
+    /// Works for a time, or until the deadline or the caller ends it.
+    /// @returns whether the work was done to its end.
+    asio::awaitable<bool> work_until(const http_request& request, microseconds duration)
+    {
+        const std::string deadline{request["tt-deadline-at"]};
+        const std::int64_t left = deadline.empty() ? std::numeric_limits<std::int32_t>::max()
+                                                   : std::strtoll(deadline.c_str(), nullptr, 10) -
+                                                         static_cast<std::int64_t>(clock_ms());
+        const milliseconds allowed{std::max<std::int64_t>(0, left)};
+        co_await sleep_for(std::min<microseconds>(duration, allowed));
+        const auto state = co_await asio::this_coro::cancellation_state;
+        if (state.cancelled() != asio::cancellation_type::none)
+            co_return false;
+        if (duration <= allowed)
+            co_return true;
+        // Work that met its deadline gives no answer.
+        co_await sleep_for(std::chrono::seconds{5});
+        co_return false;
+    }
+
     asio::awaitable<http_response> work(http_request request)
     {
         if (const std::string reason = refusal(request); !reason.empty())
@@ -235,13 +257,9 @@
         const double service = asked.empty() ? FLAGS_service_us : std::strtod(asked.c_str(), nullptr);
         microseconds duration{
             static_cast<std::int64_t>(service * slowness_ * (cold ? FLAGS_cold_factor : 1))};
-        const std::string deadline{request["tt-deadline-at"]};
-        if (!deadline.empty()) {
-            const std::int64_t left =
-                std::strtoll(deadline.c_str(), nullptr, 10) - static_cast<std::int64_t>(clock_ms());
-            duration = std::min<microseconds>(duration, milliseconds{std::max<std::int64_t>(0, left)});
-        }
-        co_await sleep_for(duration);
+        const bool in_time = co_await work_until(request, duration);
+        if (!in_time)
+            co_return refuse(504, "deadline");
         run.whole();
         auto response = make_response(200, std::string{request["x-invocation"]} + " " + FLAGS_name + "\n");
         response.set("x-invocation", request["x-invocation"]);
