--- a/include/teaseltally/coordinator.hpp
+++ b/include/teaseltally/coordinator.hpp
@@ -122,8 +122,8 @@
     void receive(const peer_message& message, time_point now);
     /// Notes that an append ended, whatever its answer; the record counts once it is read back.
     void append_finished(time_point now);
-    /// Notes that a target refuses the items from now on and executes nothing for them.
-    void revoked(target_id target, std::span<const release_entry> entries, time_point now);
+    /// Notes that the target that held the items refuses them from now on and executes nothing for them.
+    void revoked(std::span<const release_entry> entries);
     /// Sends a message to every other session.
     void tell_all(const peer_message& message);
     /// Notes until when the target may accept work by its last grant.
--- a/include/teaseltally/dispatch_ledger.hpp
+++ b/include/teaseltally/dispatch_ledger.hpp
@@ -67,8 +67,6 @@
 
     /// @returns whether a target may be executing anything.
     [[nodiscard]] bool busy(target_id target) const;
-    /// @returns how much a target may be executing.
-    [[nodiscard]] std::size_t count(target_id target) const;
     /// @returns whether a target may be executing for a slot.
     [[nodiscard]] bool busy_slot(target_id target, slot_ref slot) const;
     /// @returns whether a target may be executing for a key.
@@ -78,8 +76,6 @@
     void roll(time_point now);
     /// @returns the load of a target with its most loaded slots and keys.
     [[nodiscard]] load_report report(target_id target) const;
-    /// Forgets the loads of a target.
-    void forget_load(target_id target);
 
 private:
     struct target_load {
--- a/include/teaseltally/json.hpp
+++ b/include/teaseltally/json.hpp
@@ -24,6 +24,22 @@
 /// @returns its text without insignificant spaces.
 [[nodiscard]] std::string json_text(const Json::Value& value);
 
+/// @param value any number.
+/// @returns it as an unsigned JSON number.
+[[nodiscard]] inline Json::Value to_json(std::uint64_t value)
+{
+    return Json::Value{static_cast<Json::UInt64>(value)};
+}
+
+/// @param id any identifier.
+/// @returns its number as an unsigned JSON number.
+template <typename Id>
+requires std::is_enum_v<Id>
+[[nodiscard]] Json::Value to_json(Id id)
+{
+    return to_json(std::uint64_t{number(id)});
+}
+
 /// Reads fields of a JSON object and remembers the first fault.
 ///
 /// @code
--- a/include/teaseltally/net/dispatcher.hpp
+++ b/include/teaseltally/net/dispatcher.hpp
@@ -77,6 +77,8 @@
         bool marks_complete = false;
         time_point marks_doubtful_until{};
         time_point backup_sought_at{};
+        /// The target was up at the last tick.
+        bool was_up = true;
     };
     /// Marks of a target, with the term of the dispatcher that they are complete for.
     struct mark_book {
--- a/include/teaseltally/net/http.hpp
+++ b/include/teaseltally/net/http.hpp
@@ -76,9 +76,6 @@
     /// @returns open connections to an endpoint.
     [[nodiscard]] std::size_t connections(const tcp_endpoint& to) const;
 
-    /// Closes the idle connections to an endpoint.
-    void close_idle(const tcp_endpoint& to);
-
 private:
     class lease;
     struct endpoint_pool {
--- a/include/teaseltally/result.hpp
+++ b/include/teaseltally/result.hpp
@@ -50,9 +50,7 @@
     configuration_lost_race = 304,
     // 4xx: platform and network
     platform_unavailable = 400,
-    platform_gap = 401,
     platform_bad_answer = 402,
-    peer_unreachable = 410,
     message_malformed = 411,
 };
 
--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -162,10 +162,8 @@
     append_->retry_at = now + append_retry;
 }
 
-void coordinator::revoked(target_id target, std::span<const release_entry> entries, time_point now)
+void coordinator::revoked(std::span<const release_entry> entries)
 {
-    (void)target;
-    (void)now;
     for (const auto& entry : entries)
         revoked_[{entry.service, {entry.hot, entry.item}}] = entry.since;
 }
--- a/src/dispatch_ledger.cpp
+++ b/src/dispatch_ledger.cpp
@@ -87,12 +87,6 @@
     return std::ranges::any_of(work_, [&](const auto& entry) { return entry.second.target == target; });
 }
 
-std::size_t dispatch_ledger::count(target_id target) const
-{
-    return static_cast<std::size_t>(
-        std::ranges::count_if(work_, [&](const auto& entry) { return entry.second.target == target; }));
-}
-
 bool dispatch_ledger::busy_slot(target_id target, slot_ref slot) const
 {
     return std::ranges::any_of(work_, [&](const auto& entry) {
@@ -134,9 +128,4 @@
     return report;
 }
 
-void dispatch_ledger::forget_load(target_id target)
-{
-    loads_.erase(target);
-}
-
 } // namespace teaseltally
--- a/src/net/dispatcher.cpp
+++ b/src/net/dispatcher.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace teaseltally {
 namespace {
@@ -25,8 +26,8 @@
     Json::Value out;
     out["service"] = number(mark.key.service);
     out["key"] = mark.key.key;
-    out["fingerprint"] = static_cast<Json::UInt64>(mark.fingerprint);
-    out["remaining_ms"] = static_cast<Json::UInt64>(mark.remaining.count());
+    out["fingerprint"] = to_json(mark.fingerprint);
+    out["remaining_ms"] = to_json(mark.remaining.count());
     if (mark.answer) {
         out["answer"]["status"] = mark.answer->status;
         out["answer"]["content_type"] = mark.answer->content_type;
@@ -151,6 +152,9 @@
 {
     for (auto& [target, desk] : desks_) {
         desk.queue.configure(limits_of(target));
+        if (desk.link->up() && !std::exchange(desk.was_up, desk.link->up()))
+            desk.queue.start_slowly();
+        desk.was_up = desk.link->up();
         const auto backup = backups_.find(target);
         const bool alone = backup == backups_.end() || !context_.decisions.hears(backup->second, now);
         if (alone && desk.marks_settled && now >= desk.backup_sought_at + backup_interval) {
@@ -369,7 +373,7 @@
     const auto desk = desks_.find(target);
     Json::Value out;
     out["target"] = number(target);
-    out["term"] = static_cast<Json::UInt64>(desk == desks_.end() ? 0 : number(desk->second.token.term));
+    out["term"] = to_json(desk == desks_.end() ? 0 : number(desk->second.token.term));
     out["whole"] = whole;
     out["complete"] = desk != desks_.end() && desk->second.marks_complete;
     out["marks"] = Json::Value{Json::arrayValue};
@@ -441,8 +445,7 @@
         return out;
     const auto desk = desks_.find(target);
     const bool own = desk != desks_.end();
-    out["term"] =
-        static_cast<Json::UInt64>(own ? number(desk->second.token.term) : number(known->second.as_of));
+    out["term"] = to_json(own ? number(desk->second.token.term) : number(known->second.as_of));
     out["complete"] = own ? desk->second.marks_complete : known->second.complete;
     for (const auto& mark : known->second.table->marks(now))
         out["marks"].append(mark_json(mark));
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -157,15 +157,6 @@
     return found == pools_.end() ? 0 : found->second.open;
 }
 
-void http_client::close_idle(const tcp_endpoint& to)
-{
-    const auto found = pools_.find(to);
-    if (found == pools_.end())
-        return;
-    found->second.open -= found->second.idle.size();
-    found->second.idle.clear();
-}
-
 /// State that connections share with their server.
 struct http_server::shared : std::enable_shared_from_this<shared> {
     shared(asio::any_io_executor with, const tcp_endpoint& at, http_server_limits bounds, handler answer)
--- a/src/net/instance.cpp
+++ b/src/net/instance.cpp
@@ -467,17 +467,17 @@
     entry["service"] = state.services()[number(known.service)].name;
     entry["up"] = known.condition == target_condition::up;
     entry["accepts"] = state.accepts_slots(target);
-    entry["slots_owned"] = static_cast<Json::UInt64>(owned);
-    entry["dispatcher"] = static_cast<Json::UInt64>(number(decisions_.likely_dispatcher(target, now)));
+    entry["slots_owned"] = to_json(owned);
+    entry["dispatcher"] = to_json(decisions_.likely_dispatcher(target, now));
     if (decisions_.dispatches(target, now)) {
         const auto token = decisions_.token(target).value_or(dispatcher_token{});
-        entry["lease"]["voters"] = static_cast<Json::UInt64>(number(token.voter_set));
-        entry["lease"]["term"] = static_cast<Json::UInt64>(number(token.term));
+        entry["lease"]["voters"] = to_json(token.voter_set);
+        entry["lease"]["term"] = to_json(token.term);
         entry["lease"]["left_ms"] =
             static_cast<Json::Int64>((decisions_.lease_until(target) - now) / milliseconds{1});
         const auto [running, waiting] = dispatcher_.usage(target);
         entry["running"] = running;
-        entry["waiting"] = static_cast<Json::UInt64>(waiting);
+        entry["waiting"] = to_json(waiting);
     }
     if (const auto load = decisions_.loads().find(target); load != decisions_.loads().end())
         entry["busy_ms_per_s"] = load->second.load;
@@ -499,12 +499,11 @@
         ++known;
     }
     Json::Value entry;
-    entry["loads_known"] = static_cast<Json::UInt64>(known);
+    entry["loads_known"] = to_json(known);
     if (sum > 0)
         entry["imbalance"] = most * static_cast<double>(known) / sum;
-    entry["moves_last_hour"] = static_cast<Json::UInt64>(windows_[service].moves(now));
-    entry["unavailable_seconds_last_hour"] =
-        static_cast<Json::UInt64>(windows_[service].unavailable_seconds(now));
+    entry["moves_last_hour"] = to_json(windows_[service].moves(now));
+    entry["unavailable_seconds_last_hour"] = to_json(windows_[service].unavailable_seconds(now));
     return entry;
 }
 
@@ -514,23 +513,23 @@
     const auto now = boot_clock::now();
     Json::Value out;
     out["instance"] = settings_.name;
-    out["session"] = static_cast<Json::UInt64>(number(decisions_.settings().session));
-    out["position"] = static_cast<Json::UInt64>(number(state.position()));
+    out["session"] = to_json(decisions_.settings().session);
+    out["position"] = to_json(state.position());
     out["platform_up"] = platform_up_;
     out["joined"] = decisions_.joined();
-    out["configuration"]["version"] = static_cast<Json::UInt64>(state.version());
+    out["configuration"]["version"] = to_json(state.version());
     out["configuration"]["age_ms"] = static_cast<Json::Int64>((now - configured_at_) / milliseconds{1});
     for (const auto& [session, member] : state.sessions()) {
         Json::Value entry;
-        entry["session"] = static_cast<Json::UInt64>(number(session));
+        entry["session"] = to_json(session);
         entry["instance"] = member.description.instance;
         entry["data_centre"] = member.description.data_centre;
         out["sessions"].append(entry);
     }
     for (const auto& [name, cell] : state.cells()) {
-        out["cells"][name]["epoch"] = static_cast<Json::UInt64>(number(cell.since));
-        out["cells"][name]["voters"] = static_cast<Json::UInt64>(cell.voters.size());
-        out["cells"][name]["reset_at"] = static_cast<Json::UInt64>(number(cell.reset_at));
+        out["cells"][name]["epoch"] = to_json(cell.since);
+        out["cells"][name]["voters"] = to_json(cell.voters.size());
+        out["cells"][name]["reset_at"] = to_json(cell.reset_at);
     }
     std::vector<std::uint64_t> owned(state.targets().size());
     for (const auto& service : state.services()) {
@@ -546,12 +545,12 @@
         moves += count;
     for (std::uint32_t index = 0; index < state.services().size(); ++index)
         out["services"][state.services()[index].name] = service_status(service_id{index}, now);
-    out["unreleased_slots"] = static_cast<Json::UInt64>(state.unreleased().size());
-    out["hot_keys"] = static_cast<Json::UInt64>(state.hot_keys().size());
-    out["moves_seen"] = static_cast<Json::UInt64>(moves);
+    out["unreleased_slots"] = to_json(state.unreleased().size());
+    out["hot_keys"] = to_json(state.hot_keys().size());
+    out["moves_seen"] = to_json(moves);
     for (const auto& [fingerprint, crashes] : quarantine_.list(now)) {
         Json::Value entry;
-        entry["fingerprint"] = static_cast<Json::UInt64>(fingerprint);
+        entry["fingerprint"] = to_json(fingerprint);
         entry["crashes"] = crashes;
         out["quarantined"].append(entry);
     }
@@ -575,16 +574,15 @@
     const auto key = hash_key(query_value(query, "key"), state.settings().deployment.seed);
     const auto& owned = state.ownership(*service, key);
     out["service"] = state.services()[number(*service)].name;
-    out["key_hash"] = static_cast<Json::UInt64>(number(key));
+    out["key_hash"] = to_json(key);
     out["slot"] = number(state.slot_of(*service, key));
     out["hot"] = state.hot_keys().contains({*service, key});
-    out["epoch"] = static_cast<Json::UInt64>(number(owned.since));
+    out["epoch"] = to_json(owned.since);
     out["released"] = owned.released();
     if (owned.owner != no_target) {
         out["owner"] = state.targets()[number(owned.owner)].name;
         out["cell"] = state.cell_of(owned.owner);
-        out["dispatcher"] =
-            static_cast<Json::UInt64>(number(decisions_.likely_dispatcher(owned.owner, boot_clock::now())));
+        out["dispatcher"] = to_json(decisions_.likely_dispatcher(owned.owner, boot_clock::now()));
     }
     if (!owned.released())
         out["previous"] = state.targets()[number(owned.previous)].name;
--- a/src/net/target_link.cpp
+++ b/src/net/target_link.cpp
@@ -29,8 +29,8 @@
 Json::Value token_json(const dispatcher_token& token)
 {
     Json::Value pair{Json::arrayValue};
-    pair.append(static_cast<Json::UInt64>(number(token.voter_set)));
-    pair.append(static_cast<Json::UInt64>(number(token.term)));
+    pair.append(to_json(token.voter_set));
+    pair.append(to_json(token.term));
     return pair;
 }
 
@@ -106,13 +106,12 @@
     body["token"] = token_json(token_);
     // A target that is down gets no grants, so that the last one lapses and its slots can be released.
     const bool leased = up_ && context_.decisions.dispatches(target_, sent);
-    body["expires_at_ms"] =
-        static_cast<Json::UInt64>(clock_known_ && leased ? target_clock(sent + grant_lifetime) : 0);
+    body["expires_at_ms"] = to_json(clock_known_ && leased ? target_clock(sent + grant_lifetime) : 0);
     body["slots"] = Json::Value{Json::arrayValue};
     for (const auto& [item, since] : items) {
         Json::Value pair{Json::arrayValue};
         pair.append(item);
-        pair.append(static_cast<Json::UInt64>(number(since)));
+        pair.append(to_json(since));
         body["slots"].append(std::move(pair));
     }
     if (clock_known_ && leased)
@@ -302,7 +301,7 @@
     for (const auto& entry : entries) {
         Json::Value pair{Json::arrayValue};
         pair.append(item_name(entry.hot, entry.item));
-        pair.append(static_cast<Json::UInt64>(number(entry.since)));
+        pair.append(to_json(entry.since));
         body["slots"].append(std::move(pair));
         granted_.erase(item_name(entry.hot, entry.item));
     }
@@ -312,7 +311,7 @@
     const auto* response = std::get_if<http_response>(&outcome);
     if (response == nullptr || response->result_int() != 200)
         co_return;
-    context_.decisions.revoked(target_, entries, boot_clock::now());
+    context_.decisions.revoked(entries);
     context_.decisions.tick(boot_clock::now());
     context_.act();
 }
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -6,17 +6,6 @@
 
 constexpr Json::ArrayIndex max_rows = 4096;
 
-template <typename Id>
-Json::Value id_json(Id id)
-{
-    return Json::Value{static_cast<Json::UInt64>(number(id))};
-}
-
-Json::Value unsigned_json(std::uint64_t value)
-{
-    return Json::Value{static_cast<Json::UInt64>(value)};
-}
-
 /// Writes rows of numbers.
 template <typename Items, typename Columns>
 Json::Value rows_json(const Items& items, Columns columns)
@@ -25,7 +14,7 @@
     for (const auto& item : items) {
         Json::Value row{Json::arrayValue};
         for (const std::uint64_t column : columns(item))
-            row.append(unsigned_json(column));
+            row.append(to_json(column));
         out.append(std::move(row));
     }
     return out;
@@ -94,9 +83,9 @@
 void write(const lease_request& message, Json::Value& out)
 {
     out["cell"] = message.cell;
-    out["voters"] = id_json(message.voters);
-    out["sequence"] = unsigned_json(message.sequence);
-    out["position"] = id_json(message.position);
+    out["voters"] = to_json(message.voters);
+    out["sequence"] = to_json(message.sequence);
+    out["position"] = to_json(message.position);
     out["leaving"] = message.leaving;
     out["claims"] = rows_json(message.claims, [](const lease_claim& claim) {
         return number_row{number(claim.target), number(claim.term), claim.renewal ? 1U : 0U};
@@ -106,11 +95,11 @@
 void write(const lease_reply& message, Json::Value& out)
 {
     out["cell"] = message.cell;
-    out["voters"] = id_json(message.voters);
-    out["sequence"] = unsigned_json(message.sequence);
-    out["position"] = id_json(message.position);
-    out["beat"] = id_json(message.beat);
-    out["beat_age"] = unsigned_json(static_cast<std::uint64_t>(message.beat_age.count()));
+    out["voters"] = to_json(message.voters);
+    out["sequence"] = to_json(message.sequence);
+    out["position"] = to_json(message.position);
+    out["beat"] = to_json(message.beat);
+    out["beat_age"] = to_json(static_cast<std::uint64_t>(message.beat_age.count()));
     out["answers"] = rows_json(message.answers, [](const lease_answer& answer) {
         return number_row{number(answer.target), number(answer.term), answer.granted ? 1U : 0U,
                           number(answer.holder), number(answer.highest)};
@@ -120,9 +109,9 @@
 void write(const lease_resign& message, Json::Value& out)
 {
     out["cell"] = message.cell;
-    out["target"] = id_json(message.target);
-    out["term"] = id_json(message.term);
-    out["successor"] = id_json(message.successor);
+    out["target"] = to_json(message.target);
+    out["term"] = to_json(message.term);
+    out["successor"] = to_json(message.successor);
     out["clean"] = message.clean;
 }
 
@@ -136,7 +125,7 @@
 void write(const load_report& message, Json::Value& out)
 {
     const auto columns = [](const item_load& item) { return number_row{item.item, item.load}; };
-    out["target"] = id_json(message.target);
+    out["target"] = to_json(message.target);
     out["load"] = message.load;
     out["slots"] = rows_json(message.slots, columns);
     out["keys"] = rows_json(message.keys, columns);
@@ -144,7 +133,7 @@
 
 void write(const quarantine_notice& message, Json::Value& out)
 {
-    out["fingerprint"] = unsigned_json(message.fingerprint);
+    out["fingerprint"] = to_json(message.fingerprint);
     out["crashes"] = message.crashes;
 }
 
@@ -242,7 +231,7 @@
     std::visit(
         [&](const auto& body) {
             out["method"] = std::string{method_of(body)};
-            out["params"]["from"] = id_json(body.from);
+            out["params"]["from"] = to_json(body.from);
             write(body, out["params"]);
         },
         message);
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -7,17 +7,6 @@
 namespace teaseltally {
 namespace {
 
-Json::Value unsigned_json(std::uint64_t value)
-{
-    return Json::Value{static_cast<Json::UInt64>(value)};
-}
-
-template <typename Id>
-Json::Value id_json(Id id)
-{
-    return unsigned_json(number(id));
-}
-
 Json::Value body_json(const session_join& body)
 {
     Json::Value out;
@@ -34,7 +23,7 @@
 {
     Json::Value out;
     out["type"] = "session_leave";
-    out["member"] = id_json(body.session);
+    out["member"] = to_json(body.session);
     return out;
 }
 
@@ -43,12 +32,12 @@
     Json::Value out;
     out["type"] = "voter_change";
     out["cell"] = body.cell;
-    out["base"] = id_json(body.base);
-    out["member"] = id_json(body.session);
+    out["base"] = to_json(body.base);
+    out["member"] = to_json(body.session);
     out["add"] = body.add;
     out["acknowledged"] = Json::Value{Json::arrayValue};
     for (const session_id voter : body.acknowledged)
-        out["acknowledged"].append(id_json(voter));
+        out["acknowledged"].append(to_json(voter));
     return out;
 }
 
@@ -57,7 +46,7 @@
     Json::Value out;
     out["type"] = "voter_challenge";
     out["cell"] = body.cell;
-    out["base"] = id_json(body.base);
+    out["base"] = to_json(body.base);
     return out;
 }
 
@@ -66,9 +55,9 @@
     Json::Value out;
     out["type"] = "voter_reset";
     out["cell"] = body.cell;
-    out["base"] = id_json(body.base);
-    out["challenge"] = id_json(body.challenge);
-    out["member"] = id_json(body.session);
+    out["base"] = to_json(body.base);
+    out["challenge"] = to_json(body.challenge);
+    out["member"] = to_json(body.session);
     return out;
 }
 
@@ -76,7 +65,7 @@
 {
     Json::Value out;
     out["type"] = "configuration_publish";
-    out["expected_version"] = unsigned_json(body.expected_version);
+    out["expected_version"] = to_json(body.expected_version);
     out["documents"]["base"] = body.documents.base;
     out["documents"]["overlays"] = Json::Value{Json::objectValue};
     for (const auto& [file, text] : body.documents.overlays)
@@ -88,13 +77,13 @@
 {
     Json::Value out;
     out["type"] = "slot_move";
-    out["service"] = id_json(body.service);
+    out["service"] = to_json(body.service);
     out["slots"] = Json::Value{Json::arrayValue};
     for (const auto& entry : body.slots) {
         Json::Value triple{Json::arrayValue};
-        triple.append(id_json(entry.slot));
-        triple.append(id_json(entry.base));
-        triple.append(id_json(entry.to));
+        triple.append(to_json(entry.slot));
+        triple.append(to_json(entry.base));
+        triple.append(to_json(entry.to));
         out["slots"].append(std::move(triple));
     }
     return out;
@@ -104,10 +93,10 @@
 {
     Json::Value out;
     out["type"] = "key_move";
-    out["service"] = id_json(body.service);
-    out["key"] = id_json(body.key);
-    out["base"] = id_json(body.base);
-    out["to"] = id_json(body.to);
+    out["service"] = to_json(body.service);
+    out["key"] = to_json(body.key);
+    out["base"] = to_json(body.base);
+    out["to"] = to_json(body.to);
     return out;
 }
 
@@ -115,12 +104,12 @@
 {
     Json::Value out;
     out["type"] = "slots_released";
-    out["service"] = id_json(body.service);
+    out["service"] = to_json(body.service);
     out["slots"] = Json::Value{Json::arrayValue};
     for (const auto& entry : body.slots) {
         Json::Value pair{Json::arrayValue};
-        pair.append(id_json(entry.slot));
-        pair.append(id_json(entry.since));
+        pair.append(to_json(entry.slot));
+        pair.append(to_json(entry.since));
         out["slots"].append(std::move(pair));
     }
     return out;
@@ -130,9 +119,9 @@
 {
     Json::Value out;
     out["type"] = "key_released";
-    out["service"] = id_json(body.service);
-    out["key"] = id_json(body.key);
-    out["since"] = id_json(body.since);
+    out["service"] = to_json(body.service);
+    out["key"] = to_json(body.key);
+    out["since"] = to_json(body.since);
     return out;
 }
 
@@ -140,8 +129,8 @@
 {
     Json::Value out;
     out["type"] = "target_report";
-    out["target"] = id_json(body.target);
-    out["base"] = id_json(body.base);
+    out["target"] = to_json(body.target);
+    out["base"] = to_json(body.base);
     out["up"] = body.condition == target_condition::up;
     return out;
 }
@@ -159,8 +148,8 @@
     Json::Value out;
     out["type"] = "cell_yield";
     out["cell"] = body.cell;
-    out["service"] = id_json(body.service);
-    out["base"] = id_json(body.base);
+    out["service"] = to_json(body.service);
+    out["base"] = to_json(body.base);
     return out;
 }
 
@@ -260,8 +249,8 @@
 std::string encode(const control_record& record)
 {
     Json::Value out = std::visit([](const auto& body) { return body_json(body); }, record.body);
-    out["session"] = id_json(record.session);
-    out["sequence"] = unsigned_json(record.sequence);
+    out["session"] = to_json(record.session);
+    out["sequence"] = to_json(record.sequence);
     return json_text(out);
 }
 
--- a/src/result.cpp
+++ b/src/result.cpp
@@ -75,12 +75,8 @@
         return "configuration_lost_race";
     case result_code::platform_unavailable:
         return "platform_unavailable";
-    case result_code::platform_gap:
-        return "platform_gap";
     case result_code::platform_bad_answer:
         return "platform_bad_answer";
-    case result_code::peer_unreachable:
-        return "peer_unreachable";
     case result_code::message_malformed:
         return "message_malformed";
     }
--- a/src/snapshot.cpp
+++ b/src/snapshot.cpp
@@ -9,12 +9,6 @@
 constexpr std::size_t slots_per_chunk = 4096;
 constexpr std::size_t max_slots_per_service = 1'048'576;
 
-template <typename Id>
-Json::Value id_json(Id id)
-{
-    return Json::Value{static_cast<Json::UInt64>(number(id))};
-}
-
 Json::Value row(std::initializer_list<Json::Value> columns)
 {
     Json::Value out{Json::arrayValue};
@@ -64,9 +58,9 @@
     [[nodiscard]] Json::Value head() const
     {
         Json::Value out;
-        out["position"] = id_json(state_.position_);
-        out["version"] = static_cast<Json::UInt64>(state_.version_);
-        out["configured_at"] = id_json(state_.configured_at_);
+        out["position"] = to_json(state_.position_);
+        out["version"] = to_json(state_.version_);
+        out["configured_at"] = to_json(state_.configured_at_);
         out["base"] = state_.documents_.base;
         out["overlays"] = Json::Value{Json::objectValue};
         for (const auto& [file, text] : state_.documents_.overlays)
@@ -78,11 +72,10 @@
         out["hot_keys"] = hot_keys();
         out["yields"] = Json::Value{Json::arrayValue};
         for (const auto& [place, at] : state_.yields_)
-            out["yields"].append(row({place.first, id_json(place.second), id_json(at)}));
+            out["yields"].append(row({place.first, to_json(place.second), to_json(at)}));
         out["sequences"] = Json::Value{Json::arrayValue};
         for (const auto& [session, last] : state_.sequences_)
-            out["sequences"].append(
-                row({id_json(session), static_cast<Json::UInt64>(last.first), id_json(last.second)}));
+            out["sequences"].append(row({to_json(session), to_json(last.first), to_json(last.second)}));
         return out;
     }
 
@@ -91,7 +84,7 @@
         Json::Value out{Json::arrayValue};
         for (const auto& [id, session] : state_.sessions_) {
             const auto& join = session.description;
-            out.append(row({id_json(id), id_json(session.since), join.instance, join.data_centre, join.cell,
+            out.append(row({to_json(id), to_json(session.since), join.instance, join.data_centre, join.cell,
                             join.address, join.peer_port}));
         }
         return out;
@@ -103,9 +96,9 @@
         for (const auto& [name, cell] : state_.cells_) {
             Json::Value voters{Json::arrayValue};
             for (const session_id voter : cell.voters)
-                voters.append(id_json(voter));
-            out.append(row({name, id_json(cell.since), id_json(cell.reset_at), id_json(cell.beat_at),
-                            id_json(cell.challenged_at), voters}));
+                voters.append(to_json(voter));
+            out.append(row({name, to_json(cell.since), to_json(cell.reset_at), to_json(cell.beat_at),
+                            to_json(cell.challenged_at), voters}));
         }
         return out;
     }
@@ -114,7 +107,7 @@
     {
         Json::Value out{Json::arrayValue};
         for (const auto& service : state_.services_)
-            out.append(row({service.name, service.keyed, static_cast<Json::UInt64>(service.slots.size())}));
+            out.append(row({service.name, service.keyed, to_json(service.slots.size())}));
         return out;
     }
 
@@ -123,7 +116,7 @@
         Json::Value out{Json::arrayValue};
         for (const auto& target : state_.targets_)
             out.append(
-                row({target.name, id_json(target.service), target.data_centre, id_json(target.reported_at),
+                row({target.name, to_json(target.service), target.data_centre, to_json(target.reported_at),
                      target.condition == target_condition::up, target.configured, target.lost}));
         return out;
     }
@@ -132,22 +125,22 @@
     {
         Json::Value out{Json::arrayValue};
         for (const auto& [key, slot] : state_.hot_keys_)
-            out.append(row({id_json(key.service), id_json(key.key), id_json(slot.since), id_json(slot.owner),
-                            id_json(slot.previous)}));
+            out.append(row({to_json(key.service), to_json(key.key), to_json(slot.since), to_json(slot.owner),
+                            to_json(slot.previous)}));
         return out;
     }
 
     [[nodiscard]] Json::Value slot_rows(std::size_t service, std::size_t first, std::size_t last) const
     {
         Json::Value out;
-        out["service"] = static_cast<Json::UInt64>(service);
-        out["first"] = static_cast<Json::UInt64>(first);
+        out["service"] = to_json(service);
+        out["first"] = to_json(first);
         out["slots"] = Json::Value{Json::arrayValue};
         for (std::size_t index = first; index < last; ++index) {
             const auto& slot = state_.services_[service].slots[index];
-            out["slots"].append(id_json(slot.since));
-            out["slots"].append(id_json(slot.owner));
-            out["slots"].append(id_json(slot.previous));
+            out["slots"].append(to_json(slot.since));
+            out["slots"].append(to_json(slot.owner));
+            out["slots"].append(to_json(slot.previous));
         }
         return out;
     }
--- a/src/snapshot_collector.cpp
+++ b/src/snapshot_collector.cpp
@@ -13,10 +13,10 @@
 std::string encode_snapshot_chunk(const cluster_state& state, std::size_t index, session_id writer)
 {
     Json::Value record;
-    record["position"] = static_cast<Json::UInt64>(number(state.position()));
-    record["writer"] = static_cast<Json::UInt64>(number(writer));
-    record["index"] = static_cast<Json::UInt64>(index);
-    record["count"] = static_cast<Json::UInt64>(state.snapshot_chunks());
+    record["position"] = to_json(state.position());
+    record["writer"] = to_json(writer);
+    record["index"] = to_json(index);
+    record["count"] = to_json(state.snapshot_chunks());
     record["text"] = state.snapshot_chunk(index);
     return json_text(record);
 }
--- a/tests/support/fake_cluster.cpp
+++ b/tests/support/fake_cluster.cpp
@@ -325,7 +325,7 @@
             }
             if (!idle || !runs(*author))
                 return;
-            author->core->revoked(revoke.target, revoke.entries, clock_of(*author));
+            author->core->revoked(revoke.entries);
         });
     }
 
