--- a/src/cluster_state.cpp
+++ b/src/cluster_state.cpp
@@ -506,7 +506,7 @@
       configured_at_(other.configured_at_), documents_(other.documents_), settings_(other.settings_),
       sessions_(other.sessions_), cells_(other.cells_), services_(other.services_), targets_(other.targets_),
       hot_keys_(other.hot_keys_), unreleased_(other.unreleased_), yields_(other.yields_),
-      sequences_(other.sequences_)
+      sequences_(other.sequences_), target_names_(other.target_names_)
 {
     index_settings();
 }
--- a/tests/fold_tests.cpp
+++ b/tests/fold_tests.cpp
@@ -274,6 +274,9 @@
         auto restored = collector.newest();
         REQUIRE(restored.has_value());
         CHECK(*restored == early);
+        const cluster_state copy = *restored;
+        CHECK(copy.find_target("c") == early.find_target("c"));
+        CHECK((copy.settings_of(target_c) != nullptr) == (early.settings_of(target_c) != nullptr));
         for (std::size_t index = cut > 3 ? cut - 3 : 0; index < log.records.size(); ++index)
             (void)restored->apply(epoch{index + 1}, log.records[index]);
         CHECK(*restored == log.state);
