--- a/tests/http_tests.cpp
+++ b/tests/http_tests.cpp
@@ -99,7 +99,7 @@
     http_server server(io.get_executor(), any_port, {},
                        [](http_request request) -> asio::awaitable<http_response> {
                            if (request.target() == "/slow")
-                               co_await sleep_for(milliseconds{60});
+                               co_await sleep_for(milliseconds{300});
                            co_return make_response(200, std::string{request.target()});
                        });
     http_client client(io.get_executor(), {});
@@ -109,7 +109,7 @@
         REQUIRE(std::holds_alternative<http_failure>(late));
         CHECK(std::get<http_failure>(late).timed_out);
         CHECK(std::get<http_failure>(late).sent);
-        for (int round = 0; round < 20; ++round) {
+        for (int round = 0; round < 80; ++round) {
             auto quick = make_request(http::verb::get, "/quick");
             const auto outcome = co_await client.exchange(server.local(), std::move(quick), soon());
             REQUIRE(std::holds_alternative<http_response>(outcome));
@@ -180,9 +180,9 @@
         CHECK(ended);
         auto left = make_request(http::verb::get, "/");
         (void)co_await client.exchange(server.local(), std::move(left), soon(milliseconds{30}));
-        co_await sleep_for(milliseconds{200});
+        while (!cancelled || server.active() != 0)
+            co_await sleep_for(milliseconds{5});
         CHECK(cancelled);
-        CHECK(server.active() == 0);
     });
 }
 
@@ -202,7 +202,8 @@
         REQUIRE(std::holds_alternative<http_response>(outcome));
         CHECK(std::get<http_response>(outcome).body() == "served");
         CHECK_FALSE(std::get<http_response>(outcome).keep_alive());
-        co_await sleep_for(milliseconds{300});
+        while (!server.drained())
+            co_await sleep_for(milliseconds{5});
         CHECK(server.drained());
     });
 }
--- a/tests/policy_tests.cpp
+++ b/tests/policy_tests.cpp
@@ -2,6 +2,7 @@
 #include <teaseltally/idempotency.hpp>
 #include <teaseltally/placement.hpp>
 #include <teaseltally/request_policy.hpp>
+#include <teaseltally/service_window.hpp>
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -237,3 +238,18 @@
     const std::vector<placement_target> level{{target_id{0}, 1000, 500, 1.0}, {target_id{1}, 1000, 520, 1.0}};
     CHECK(balance_items({{1, false, target_id{1}, epoch{1}, 20}}, level, {}).empty());
 }
+
+TEST_CASE("the hour's figures count seconds without any served request, and forget after an hour")
+{
+    service_window window;
+    window.note_answer(result_class::not_run, at(0));
+    window.note_answer(result_class::done, at(10));
+    window.note_answer(result_class::not_run, at(1000));
+    window.note_answer(result_class::unknown, at(2000));
+    window.note_answer(result_class::refused, at(3000));
+    window.note_moves(7, at(3000));
+    CHECK(window.unavailable_seconds(at(4000)) == 2);
+    CHECK(window.moves(at(4000)) == 7);
+    CHECK(window.unavailable_seconds(at(3'700'000)) == 0);
+    CHECK(window.moves(at(3'700'000)) == 0);
+}
--- a/tests/support/fake_cluster.cpp
+++ b/tests/support/fake_cluster.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::uint64_t slot_count = 6;
 constexpr milliseconds step{25};
+/// A leaving target gets no new work after this time; one step more, since nodes act once a step.
+constexpr milliseconds drain_limit{3000 + 25};
 constexpr microseconds least_delay{300};
 constexpr microseconds most_delay{30'000};
 const std::vector<std::string> data_centres{"east", "west"};
@@ -52,6 +54,8 @@
     epoch highest_position{};
     std::uint64_t highest_version = 0;
     std::map<target_id, time_point> failing_since;
+    /// When this node first knew that a target is leaving, by its own clock.
+    std::map<target_id, time_point> leaving_since;
 };
 
 struct event {
@@ -153,6 +157,7 @@
         which.highest_position = {};
         which.highest_version = 0;
         which.failing_since.clear();
+        which.leaving_since.clear();
     }
 
     [[nodiscard]] node* node_of(session_id session)
@@ -206,8 +211,10 @@
         if (cut_from_log(reader.index) || chance() < 0.3)
             return;
         for (std::uint64_t offset = number(reader.core->state().position()) + 1; offset <= log_.size();
-             ++offset)
+             ++offset) {
             reader.core->observe(epoch{offset}, log_[offset - 1], clock_of(reader));
+            note_leaving(reader);
+        }
     }
 
     void watch_progress(node& each)
@@ -336,6 +343,28 @@
             dispatch(each, key_hash{pick(slot_count * 2)});
     }
 
+    /// Follows each record, since a target may stay and leave again between two steps.
+    void note_leaving(node& reader) const
+    {
+        const auto& state = reader.core->state();
+        for (std::uint32_t index = 0; index < state.targets().size(); ++index) {
+            const target_id target{index};
+            const auto* settings = state.settings_of(target);
+            if (settings != nullptr && settings->draining)
+                reader.leaving_since.try_emplace(target, clock_of(reader));
+            else
+                reader.leaving_since.erase(target);
+        }
+    }
+
+    /// A leaving target gets no new work a few seconds after its dispatcher knows of it.
+    void check_drain(const node& from, target_id target)
+    {
+        const auto since = from.leaving_since.find(target);
+        if (since != from.leaving_since.end() && clock_of(from) > since->second + drain_limit)
+            report("t" + std::to_string(number(target)) + " got new work though it is leaving");
+    }
+
     /// Without a reset, no other running node may hold the right to the same target.
     void check_single_dispatcher(const node& from, target_id target)
     {
@@ -371,6 +400,7 @@
         if (permit == nullptr)
             return;
         check_single_dispatcher(from, owner);
+        check_drain(from, owner);
         const bool late = chance() < plan_.late_writes;
         const auto arrival =
             now_ + delay() + (late ? microseconds{milliseconds{pick(6000)}} : microseconds{0});
