--- /dev/null
+++ b/include/teaseltally/net/notifier.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <teaseltally/types.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+/// @file
+/// Wakes one waiting coroutine.
+
+namespace teaseltally {
+
+/// A flag that one coroutine waits for with a time limit. A notification before the wait is kept.
+class notifier {
+public:
+    explicit notifier(const boost::asio::any_io_executor& executor) : timer_(executor) {}
+
+    /// Wakes the waiter, or the next one.
+    void notify()
+    {
+        signalled_ = true;
+        timer_.cancel();
+    }
+
+    /// Waits for a notification.
+    /// @param until when to stop waiting.
+    /// @returns whether there was a notification.
+    [[nodiscard]] boost::asio::awaitable<bool> wait_until(time_point until)
+    {
+        if (!signalled_) {
+            timer_.expires_after(std::max<microseconds>(until - boot_clock::now(), microseconds{0}));
+            co_await timer_.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        }
+        const bool seen = signalled_;
+        signalled_ = false;
+        co_return seen;
+    }
+
+private:
+    boost::asio::steady_timer timer_;
+    bool signalled_ = false;
+};
+
+} // namespace teaseltally
--- /dev/null
+++ b/include/teaseltally/net/request_router.hpp
@@ -0,0 +1,174 @@
+#pragma once
+
+#include <teaseltally/admission/retry_budget.hpp>
+#include <teaseltally/net/notifier.hpp>
+#include <teaseltally/net/target_node.hpp>
+#include <teaseltally/ownership/assignment.hpp>
+#include <teaseltally/routing/route_table.hpp>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/// @file
+/// Takes one request from its caller to a target and the answer back.
+
+namespace teaseltally {
+
+/// Settings of the router.
+struct router_settings {
+    std::string data_centre;
+    double retry_ratio = 0.2;
+    double retry_slack = 50;
+};
+
+/// One attempt to have a request executed.
+struct routed_attempt {
+    std::shared_ptr<target_node> target;
+    /// The connection in use, to cancel the attempt.
+    boost::beast::tcp_stream* stream = nullptr;
+    time_point started{};
+    double occupancy = 0;
+    bool ended = false;
+    bool taken_in = false;
+    exchange_result result;
+};
+
+/// A request on its way.
+class routed_request {
+public:
+    routed_request(const asio::any_io_executor& executor, http_request from_caller, time_point at)
+        : message(std::move(from_caller)), received(at), wake(executor)
+    {
+    }
+
+    http_request message;
+    time_point received;
+    notifier wake;
+    bool caller_gone = false;
+    /// Outcome for the log.
+    std::string cause;
+
+    std::string id;
+    std::shared_ptr<const route_table> table;
+    const route* rule = nullptr;
+    std::string service;
+    std::optional<key_number> key;
+    /// When the caller has its final answer at the latest.
+    time_point final_at{};
+    std::vector<std::shared_ptr<routed_attempt>> attempts;
+    unsigned sends = 0;
+    /// Whether a target may have begun to execute the request.
+    bool may_have_run = false;
+
+    /// Closes the connections of attempts that have not ended.
+    void cancel_attempts();
+    /// Tells that the caller has closed its connection.
+    void abandon();
+};
+
+/// Requests and keys counted since the last report.
+struct key_counts {
+    std::map<std::string, std::map<key_number, unsigned>, std::less<>> services;
+};
+
+/// Routes requests by what this instance knows.
+class request_router {
+public:
+    using log_sink = std::function<void(const std::string&)>;
+
+    request_router(asio::any_io_executor executor, router_settings settings, log_sink log);
+
+    /// Puts a configuration in force unless a newer one is.
+    /// @returns whether it was put in force.
+    bool configure(routing_configuration configured);
+    [[nodiscard]] const std::shared_ptr<const route_table>& table() const noexcept { return table_; }
+    void update_target(const target_entry& entry);
+    void remove_target(const std::string& id);
+    /// Uses the owners in a log, which outlives the router.
+    void use_ownership(const ownership_log& log) { ownership_ = &log; }
+    /// Tells that owners have changed.
+    void ownership_changed();
+    /// Sets the number of instances that share limits.
+    void set_instances(unsigned instances);
+    /// Closes connections that were idle for long.
+    void housekeeping();
+
+    /// Routes a request.
+    /// @returns the answer for the caller; nothing if the caller has left.
+    [[nodiscard]] asio::awaitable<std::optional<http_response>>
+    serve(std::shared_ptr<routed_request> request);
+
+    /// @returns requests by key since the last call.
+    [[nodiscard]] key_counts take_key_counts();
+    [[nodiscard]] const std::map<std::string, std::shared_ptr<target_node>, std::less<>>&
+    targets() const noexcept
+    {
+        return targets_;
+    }
+    [[nodiscard]] unsigned instances() const noexcept { return instances_; }
+
+private:
+    struct service_state {
+        explicit service_state(retry_budget allowed) : budget(allowed) {}
+        retry_budget budget;
+        std::list<routed_request*> waiting;
+        microseconds service_time{100'000};
+        /// Time between ends of requests while others wait.
+        double drain_interval_us = 20'000;
+        time_point last_end{};
+        std::vector<std::shared_ptr<target_node>> targets;
+    };
+
+    [[nodiscard]] service_state& state_of(const std::string& service);
+    [[nodiscard]] std::optional<http_response> prepare(routed_request& request);
+    [[nodiscard]] std::string choose_part(const routed_request& request);
+    [[nodiscard]] std::shared_ptr<target_node> choose_target(const routed_request& request,
+                                                             service_state& state);
+    [[nodiscard]] std::shared_ptr<target_node> owner_of(const routed_request& request) const;
+    [[nodiscard]] bool has_room(target_node& node, bool keyed) const;
+    [[nodiscard]] bool wants_attempt(const routed_request& request, time_point now,
+                                     time_point hedge_at) const;
+    [[nodiscard]] bool try_attempt(const std::shared_ptr<routed_request>& request, service_state& state);
+    [[nodiscard]] microseconds expected_wait(const routed_request& request, service_state& state) const;
+    void launch(const std::shared_ptr<routed_request>& request, std::shared_ptr<target_node> target,
+                std::unique_ptr<target_connection> connection);
+    [[nodiscard]] asio::awaitable<void> run_attempt(std::shared_ptr<routed_request> request,
+                                                    std::shared_ptr<routed_attempt> attempt,
+                                                    std::unique_ptr<target_connection> connection);
+    [[nodiscard]] std::shared_ptr<const http_request> outgoing(const routed_request& request,
+                                                               const target_node& target) const;
+    void note_end(const routed_request& request, routed_attempt& attempt);
+    [[nodiscard]] std::optional<http_response> take_in(routed_request& request, routed_attempt& attempt);
+    [[nodiscard]] asio::awaitable<std::optional<http_response>>
+    drive(std::shared_ptr<routed_request> request);
+    [[nodiscard]] http_response give_up(routed_request& request, std::string_view cause,
+                                        milliseconds come_back) const;
+    [[nodiscard]] time_point patience(const routed_request& request, service_state& state) const;
+    [[nodiscard]] unsigned connection_limit(const std::string& service) const;
+    void wake_waiting(service_state& state);
+    void enqueue(routed_request& request, service_state& state);
+    static void dequeue(routed_request& request, service_state& state);
+
+    asio::any_io_executor executor_;
+    router_settings settings_;
+    log_sink log_;
+    std::shared_ptr<const route_table> table_;
+    std::map<std::string, std::shared_ptr<target_node>, std::less<>> targets_;
+    std::map<std::string, service_state, std::less<>> services_;
+    const ownership_log* ownership_ = nullptr;
+    key_counts counts_;
+    /// Credit of each part of a route, for the smooth weighted choice.
+    std::map<std::string, std::vector<double>, std::less<>> part_credits_;
+    unsigned instances_ = 12;
+    std::mt19937_64 random_{std::random_device{}()};
+    std::uint64_t logged_ = 0;
+};
+
+} // namespace teaseltally
--- /dev/null
+++ b/include/teaseltally/ownership/balancer.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <teaseltally/ownership/assignment.hpp>
+
+#include <functional>
+#include <span>
+#include <vector>
+
+/// @file
+/// Where ranges go: the first spread, ranges without an owner, and hot ranges that are split and moved.
+
+namespace teaseltally {
+
+/// Requests a second for each key of one service, averaged over a short time.
+class key_load {
+public:
+    key_load() : rates_(std::size_t{last_key} + 1) {}
+
+    /// Adds requests that were seen since the last call of `decay`.
+    void add(key_number key, double requests) { rates_[key] += requests; }
+    /// Ages what was seen.
+    /// @param elapsed time since the last call.
+    void decay(microseconds elapsed);
+    /// @returns requests a second on the keys.
+    [[nodiscard]] double rate(key_range keys) const;
+    [[nodiscard]] double rate(key_number key) const { return rates_[key] / window_s; }
+
+private:
+    /// Time constant of the average in seconds: long enough to see tens of requests of a hot range.
+    static constexpr double window_s = 1.5;
+    std::vector<float> rates_;
+};
+
+/// A target that may own keys.
+struct balance_target {
+    target_life life;
+    /// Requests a second that it can answer.
+    double capacity = 1;
+};
+
+/// Keys and their next owner.
+struct balance_move {
+    key_range keys;
+    target_life to;
+    bool operator==(const balance_move&) const = default;
+};
+
+/// Divides all keys among targets by capacity, in one range each.
+[[nodiscard]] std::vector<balance_move> spread_evenly(std::span<const balance_target> targets);
+
+/// Limits of one round of balancing.
+struct balance_limits {
+    /// Load of the busiest target, relative to its capacity, below which nothing moves.
+    double busy = 0.7;
+    /// Difference to the idlest target below which nothing moves.
+    double difference = 0.25;
+    /// Greatest number of moves.
+    std::size_t moves = 6;
+};
+
+/// Gives ranges whose owners are gone to the least busy targets, cut into pieces of bounded load.
+/// @param current the assignment.
+/// @param targets targets that may own keys.
+/// @param load the keys' load.
+/// @param vacated whether a range needs a new owner.
+[[nodiscard]] std::vector<balance_move> place_vacated(const assignment& current,
+                                                      std::span<const balance_target> targets,
+                                                      const key_load& load,
+                                                      const std::function<bool(const owned_range&)>& vacated);
+
+/// Moves narrow ranges from busy targets to idle ones.
+[[nodiscard]] std::vector<balance_move> level_load(const assignment& current,
+                                                   std::span<const balance_target> targets,
+                                                   const key_load& load, const balance_limits& limits);
+
+} // namespace teaseltally
--- /dev/null
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -0,0 +1,209 @@
+#pragma once
+
+#include <teaseltally/knowledge/target_directory.hpp>
+#include <teaseltally/ownership/balancer.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// @file
+/// The coordinator of key ownership: takes over, assigns ranges, grants, renews and moves them.
+
+namespace teaseltally {
+
+/// Times of the coordinator.
+struct ownership_timing {
+    /// How long a grant lasts from its arrival at the target.
+    milliseconds hold{6000};
+    milliseconds renew_every{1500};
+    /// How long a coordinator may send grants after the log last accepted a record of its term.
+    milliseconds authority{12'000};
+    milliseconds heartbeat{1000};
+    /// Silence of the coordinator after which another takes over.
+    milliseconds takeover_after{2500};
+    milliseconds order_retry{300};
+    milliseconds balance_every{500};
+    /// Greatest time that an order needs to arrive at a target, or to be given up.
+    milliseconds order_timeout{1000};
+};
+
+/// Appends records if the log still ends where the coordinator believes.
+struct append_order {
+    struct record {
+        std::string key;
+        std::string value;
+    };
+    std::vector<record> records;
+    std::uint64_t as_of = 0;
+};
+
+/// Grants keys to a target or renews the grant.
+struct grant_order {
+    std::uint64_t id = 0;
+    target_life to;
+    key_range keys;
+    std::uint64_t fence = 0;
+    milliseconds hold{0};
+    std::string handover;
+};
+
+/// Takes keys back from a target.
+struct release_order {
+    std::uint64_t id = 0;
+    target_life at;
+    key_range keys;
+    std::uint64_t fence = 0;
+};
+
+using ownership_action = std::variant<append_order, grant_order, release_order>;
+
+/// How an order to a target ended.
+enum class order_end {
+    done,
+    /// The target has seen a higher fencing token.
+    conflict,
+    /// The target is proved to have ended.
+    gone,
+    /// The order was not sent.
+    not_sent,
+    /// The order was sent and may be carried out, also later.
+    unknown,
+};
+
+/// How an append ended.
+enum class append_end { done, stale, not_done, unknown };
+
+/// What the coordinator decides on.
+struct ownership_view {
+    const ownership_log& log;
+    const target_directory& directory;
+    /// Names of the keyed services in force.
+    const std::vector<std::string>& keyed;
+    /// When the last read that reached the end of the log was sent.
+    time_point read_sent{};
+    /// Whether the directory is complete, as opposed to lapsed while the store was away.
+    bool directory_sound = false;
+};
+
+/// Decides on ownership in one instance. Pure: events and time in, actions out.
+class range_manager {
+public:
+    /// @param self this instance's claim.
+    /// @param timing times.
+    /// @param jitter delay of this instance before it takes over, so that few race.
+    range_manager(coordinator_claim self, ownership_timing timing, milliseconds jitter)
+        : self_(std::move(self)), timing_(timing), jitter_(jitter)
+    {
+    }
+
+    /// Adds requests seen for a key.
+    void note_load(std::string_view service, key_number key, double requests);
+    /// Sets the requests a second that a target can answer.
+    void note_capacity(std::string_view target, double requests_per_s);
+
+    /// Decides what is due.
+    [[nodiscard]] std::vector<ownership_action> tick(time_point now, const ownership_view& view);
+    /// Takes in the end of the append; its records are folded into the log first.
+    void appended(time_point now, append_end end);
+    /// Takes in the end of an order.
+    void ordered(time_point now, std::uint64_t id, order_end end, std::string handover);
+
+    /// @returns whether this instance coordinates.
+    [[nodiscard]] bool coordinates() const noexcept { return coordinates_; }
+    /// @returns when the right to send grants ends.
+    [[nodiscard]] time_point authority_until() const noexcept { return authority_until_; }
+    /// @returns keys of a service that no target surely holds.
+    [[nodiscard]] std::uint32_t unserved_keys(time_point now, std::string_view service) const;
+
+private:
+    /// An earlier owner that may still hold keys of a range.
+    struct former_hold {
+        target_life life;
+        key_range keys;
+        /// When its last possible grant has run out.
+        time_point until{};
+        std::uint64_t open_order = 0;
+        time_point next_try{};
+        bool ended = false;
+    };
+    struct managed_range {
+        key_range keys;
+        target_life owner;
+        /// Fence in the log, which identifies the assignment.
+        std::uint64_t recorded_fence = 0;
+        /// Fence of the grants: at least the term.
+        std::uint64_t fence = 0;
+        std::string handover;
+        std::vector<former_hold> former;
+        /// When the last possible grant to the owner has run out.
+        time_point hold_until{};
+        /// Until when the owner surely holds the keys.
+        time_point held_until{};
+        std::uint64_t open_order = 0;
+        time_point open_since{};
+        /// `hold_until` before the open order.
+        time_point hold_before{};
+        time_point next_grant{};
+        bool failing = false;
+        bool owner_gone = false;
+        /// The owner has seen a higher fence; the range needs a new one.
+        bool outfenced = false;
+    };
+    /// A grant that has not ended.
+    struct open_grant {
+        std::string target;
+        key_range keys;
+    };
+    using service_ranges = std::vector<managed_range>;
+
+    void watch_coordinator(time_point now, const ownership_view& view, std::vector<ownership_action>& out);
+    void begin_term(time_point now, const ownership_view& view);
+    void step_down();
+    void reconcile(time_point now, const ownership_view& view);
+    [[nodiscard]] service_ranges reconciled(time_point now, const assignment& committed,
+                                            const service_ranges& before, bool adopted) const;
+    [[nodiscard]] std::vector<former_hold> former_of(const owned_range& range, const service_ranges& before,
+                                                     bool adopted) const;
+    void plan(time_point now, const ownership_view& view, std::vector<ownership_action>& out);
+    [[nodiscard]] std::optional<assignment> plan_service(time_point now, const ownership_view& view,
+                                                         const std::string& service, std::uint64_t fence);
+    [[nodiscard]] std::vector<balance_target> candidates(const ownership_view& view,
+                                                         const std::string& service) const;
+    void send_orders(time_point now, std::vector<ownership_action>& out);
+    void ordered_former(time_point now, managed_range& range, std::uint64_t id, order_end end,
+                        const std::string& handover) const;
+    void ordered_grant(time_point now, managed_range& range, order_end end) const;
+    void release_former(time_point now, managed_range& range, std::vector<ownership_action>& out);
+    [[nodiscard]] bool grant_in_flight(std::string_view target, key_range keys) const;
+    [[nodiscard]] milliseconds longest_hold() const noexcept { return timing_.hold + timing_.hold / 50; }
+
+    coordinator_claim self_;
+    ownership_timing timing_;
+    milliseconds jitter_;
+    bool coordinates_ = false;
+    std::uint64_t term_ = 0;
+    /// When grants of all earlier coordinators have run out.
+    time_point predecessors_until_{};
+    time_point authority_until_{};
+    time_point first_tick_{};
+    time_point last_tick_{};
+    bool append_open_ = false;
+    bool claiming_ = false;
+    time_point append_sent_{};
+    time_point last_append_{};
+    /// The log must be read once more from after this time before anything is appended.
+    std::optional<time_point> unsettled_since_;
+    std::uint64_t reconciled_position_ = 0;
+    bool adopt_next_ = false;
+    time_point next_balance_{};
+    std::uint64_t next_order_ = 1;
+    std::map<std::uint64_t, open_grant> open_grants_;
+    std::map<std::string, service_ranges, std::less<>> ranges_;
+    std::map<std::string, key_load, std::less<>> loads_;
+    std::map<std::string, double, std::less<>> capacities_;
+};
+
+} // namespace teaseltally
--- /dev/null
+++ b/src/ownership/range_manager.cpp
@@ -0,0 +1,370 @@
+#include <teaseltally/ownership/range_manager.hpp>
+
+#include <algorithm>
+
+namespace teaseltally {
+namespace {
+
+/// Capacity assumed for a target of which no speed is known, in requests a second for each slot.
+constexpr double default_rate_per_slot = 5.0;
+/// Time beyond a grant's hold for clocks and delivery.
+constexpr milliseconds hold_margin{150};
+
+key_range overlap_of(key_range left, key_range right)
+{
+    return {std::max(left.first, right.first), std::min(left.last, right.last)};
+}
+
+bool same_life(const target_life& left, const target_life& right)
+{
+    return left.id == right.id && left.born == right.born;
+}
+
+} // namespace
+
+void range_manager::note_load(std::string_view service, key_number key, double requests)
+{
+    auto found = loads_.find(service);
+    if (found == loads_.end())
+        found = loads_.emplace(std::string{service}, key_load{}).first;
+    found->second.add(key, requests);
+}
+
+void range_manager::note_capacity(std::string_view target, double requests_per_s)
+{
+    capacities_.insert_or_assign(std::string{target}, requests_per_s);
+}
+
+std::vector<ownership_action> range_manager::tick(time_point now, const ownership_view& view)
+{
+    std::vector<ownership_action> out;
+    if (first_tick_ == time_point{})
+        first_tick_ = last_tick_ = now;
+    for (auto& [service, load] : loads_)
+        load.decay(now - last_tick_);
+    last_tick_ = now;
+    if (unsettled_since_ && view.read_sent > *unsettled_since_)
+        unsettled_since_.reset();
+    if (!coordinates_) {
+        watch_coordinator(now, view, out);
+        return out;
+    }
+    if (!append_open_ && view.log.claim() && view.log.claim()->session != self_.session) {
+        step_down();
+        return out;
+    }
+    if (!append_open_)
+        reconcile(now, view);
+    if (!append_open_ && !unsettled_since_)
+        plan(now, view, out);
+    if (now < authority_until_)
+        send_orders(now, out);
+    return out;
+}
+
+void range_manager::watch_coordinator(time_point now, const ownership_view& view,
+                                      std::vector<ownership_action>& out)
+{
+    if (append_open_ || unsettled_since_ || now - view.read_sent > timing_.heartbeat * 2)
+        return;
+    if (view.log.claim() && view.log.claim()->session == self_.session) {
+        begin_term(now, view);
+        return;
+    }
+    const auto silent_since = std::max(first_tick_, view.log.heard());
+    const auto patience = view.log.claim() ? timing_.takeover_after + jitter_ : jitter_;
+    if (now - silent_since < patience)
+        return;
+    append_open_ = true;
+    claiming_ = true;
+    append_sent_ = now;
+    append_order order;
+    order.records.push_back({std::string{ownership_log::claim_key}, encode(self_)});
+    order.as_of = view.log.position();
+    out.push_back(std::move(order));
+}
+
+void range_manager::begin_term(time_point now, const ownership_view& view)
+{
+    coordinates_ = true;
+    term_ = view.log.term();
+    authority_until_ = append_sent_ + timing_.authority;
+    predecessors_until_ = now + timing_.authority + timing_.order_timeout + longest_hold() + hold_margin;
+    last_append_ = now;
+    ranges_.clear();
+    adopt_next_ = true;
+    reconciled_position_ = 0;
+}
+
+void range_manager::step_down()
+{
+    coordinates_ = false;
+    ranges_.clear();
+    authority_until_ = {};
+}
+
+void range_manager::appended(time_point now, append_end end)
+{
+    append_open_ = false;
+    claiming_ = false;
+    if (end == append_end::done) {
+        authority_until_ = std::max(authority_until_, append_sent_ + timing_.authority);
+        last_append_ = now;
+        return;
+    }
+    unsettled_since_ = now;
+}
+
+void range_manager::reconcile(time_point now, const ownership_view& view)
+{
+    if (view.log.position() == reconciled_position_)
+        return;
+    reconciled_position_ = view.log.position();
+    for (const auto& [service, committed] : view.log.services())
+        ranges_[service] = reconciled(now, committed, ranges_[service], adopt_next_);
+    adopt_next_ = false;
+}
+
+range_manager::service_ranges range_manager::reconciled(time_point now, const assignment& committed,
+                                                        const service_ranges& before, bool adopted) const
+{
+    service_ranges next;
+    for (const auto& range : committed.ranges()) {
+        const auto kept = std::ranges::find_if(before, [&](const managed_range& old) {
+            return old.recorded_fence == range.fence && same_life(old.owner, range.owner) &&
+                   old.keys.first <= range.keys.first && range.keys.last <= old.keys.last;
+        });
+        if (kept != before.end()) {
+            next.push_back(*kept);
+            next.back().keys = range.keys;
+            continue;
+        }
+        managed_range added;
+        added.keys = range.keys;
+        added.owner = range.owner;
+        added.recorded_fence = range.fence;
+        added.fence = std::max(range.fence, term_);
+        added.former = former_of(range, before, adopted);
+        added.hold_until = adopted ? predecessors_until_ : time_point{};
+        added.next_grant = now;
+        next.push_back(std::move(added));
+    }
+    return next;
+}
+
+std::vector<range_manager::former_hold>
+range_manager::former_of(const owned_range& range, const service_ranges& before, bool adopted) const
+{
+    std::vector<former_hold> former;
+    if (adopted) {
+        for (const auto& life : range.former)
+            former.push_back({life, range.keys, predecessors_until_, 0, {}, false});
+        return former;
+    }
+    for (const auto& old : before) {
+        if (!old.keys.overlaps(range.keys))
+            continue;
+        if (!same_life(old.owner, range.owner) && old.hold_until != time_point{} && !old.owner_gone)
+            former.push_back({old.owner, overlap_of(old.keys, range.keys), old.hold_until, 0, {}, false});
+        for (const auto& earlier : old.former)
+            if (!earlier.ended && !same_life(earlier.life, range.owner) && earlier.keys.overlaps(range.keys))
+                former.push_back(
+                    {earlier.life, overlap_of(earlier.keys, range.keys), earlier.until, 0, {}, false});
+    }
+    return former;
+}
+
+std::vector<balance_target> range_manager::candidates(const ownership_view& view,
+                                                      const std::string& service) const
+{
+    std::vector<balance_target> targets;
+    for (const auto& [id, entry] : view.directory.entries()) {
+        if (entry.service != service || entry.draining)
+            continue;
+        const auto& ranges = ranges_.find(service);
+        const bool failing =
+            ranges != ranges_.end() && std::ranges::any_of(ranges->second, [&](const managed_range& range) {
+                return range.owner.id == id && (range.owner_gone || range.failing);
+            });
+        if (failing)
+            continue;
+        const auto known = capacities_.find(id);
+        targets.push_back({{entry.id, entry.born, entry.address},
+                           known == capacities_.end() ? entry.slots * default_rate_per_slot : known->second});
+    }
+    return targets;
+}
+
+std::optional<assignment> range_manager::plan_service(time_point now, const ownership_view& view,
+                                                      const std::string& service, std::uint64_t fence)
+{
+    const auto targets = candidates(view, service);
+    if (targets.empty())
+        return std::nullopt;
+    const auto* committed = view.log.find(service);
+    assignment next = committed == nullptr ? assignment{} : *committed;
+    const auto& managed = ranges_[service];
+    const auto state_of = [&](const owned_range& range) {
+        const auto found = std::ranges::find_if(
+            managed, [&](const managed_range& item) { return item.keys.first == range.keys.first; });
+        return found == managed.end() ? nullptr : &*found;
+    };
+    const auto vacated = [&](const owned_range& range) {
+        const auto* entry = view.directory.find(range.owner.id);
+        const auto* state = state_of(range);
+        if (state != nullptr && (state->owner_gone || (state->failing && state->hold_until < now)))
+            return true;
+        if (entry == nullptr)
+            return view.directory_sound;
+        return entry->draining || entry->service != service || entry->born != range.owner.born;
+    };
+    std::vector<balance_move> moves;
+    if (next.empty())
+        moves = spread_evenly(targets);
+    else
+        moves = place_vacated(next, targets, loads_[service], vacated);
+    if (moves.empty() && now >= next_balance_)
+        moves = level_load(next, targets, loads_[service], {});
+    bool settled = false;
+    next.settle([&](const owned_range& range) {
+        const auto* state = state_of(range);
+        const bool ended = !range.former.empty() && state != nullptr &&
+                           std::ranges::all_of(state->former, [&](const former_hold& hold) {
+                               return hold.ended || hold.until < now;
+                           });
+        settled = settled || ended;
+        return ended;
+    });
+    for (const auto& item : managed)
+        if (item.outfenced)
+            moves.push_back({item.keys, item.owner});
+    for (const auto& move : moves)
+        next.give(move.keys, move.to, fence);
+    if (moves.empty() && !settled)
+        return std::nullopt;
+    return next;
+}
+
+void range_manager::plan(time_point now, const ownership_view& view, std::vector<ownership_action>& out)
+{
+    append_order order;
+    order.as_of = view.log.position();
+    for (const auto& service : view.keyed) {
+        const auto fence = order.as_of + order.records.size();
+        if (const auto next = plan_service(now, view, service, fence))
+            order.records.push_back({std::string{ownership_log::service_prefix} + service, encode(*next)});
+    }
+    if (now >= next_balance_)
+        next_balance_ = now + timing_.balance_every;
+    if (order.records.empty() && now - last_append_ >= timing_.heartbeat)
+        order.records.push_back({std::string{ownership_log::claim_key}, encode(self_)});
+    if (order.records.empty())
+        return;
+    append_open_ = true;
+    append_sent_ = now;
+    out.push_back(std::move(order));
+}
+
+bool range_manager::grant_in_flight(std::string_view target, key_range keys) const
+{
+    return std::ranges::any_of(open_grants_, [&](const auto& open) {
+        return open.second.target == target && open.second.keys.overlaps(keys);
+    });
+}
+
+void range_manager::release_former(time_point now, managed_range& range, std::vector<ownership_action>& out)
+{
+    for (auto& hold : range.former) {
+        if (hold.ended || hold.until < now || hold.open_order != 0 || now < hold.next_try ||
+            grant_in_flight(hold.life.id, hold.keys))
+            continue;
+        hold.open_order = next_order_++;
+        out.push_back(release_order{hold.open_order, hold.life, hold.keys, range.fence});
+    }
+}
+
+void range_manager::send_orders(time_point now, std::vector<ownership_action>& out)
+{
+    for (auto& [service, ranges] : ranges_) {
+        for (auto& range : ranges) {
+            release_former(now, range, out);
+            const bool free = std::ranges::all_of(
+                range.former, [&](const former_hold& hold) { return hold.ended || hold.until < now; });
+            if (!free || range.owner_gone || range.open_order != 0 || now < range.next_grant)
+                continue;
+            range.open_order = next_order_++;
+            range.open_since = now;
+            range.hold_before = range.hold_until;
+            range.hold_until =
+                std::max(range.hold_until, now + timing_.order_timeout + longest_hold() + hold_margin);
+            open_grants_.emplace(range.open_order, open_grant{range.owner.id, range.keys});
+            out.push_back(grant_order{range.open_order, range.owner, range.keys, range.fence, timing_.hold,
+                                      range.handover});
+        }
+    }
+}
+
+void range_manager::ordered(time_point now, std::uint64_t id, order_end end, std::string handover)
+{
+    open_grants_.erase(id);
+    for (auto& [service, ranges] : ranges_) {
+        for (auto& range : ranges) {
+            ordered_former(now, range, id, end, handover);
+            if (range.open_order == id)
+                ordered_grant(now, range, end);
+        }
+    }
+}
+
+void range_manager::ordered_former(time_point now, managed_range& range, std::uint64_t id, order_end end,
+                                   const std::string& handover) const
+{
+    for (auto& hold : range.former) {
+        if (hold.open_order != id)
+            continue;
+        hold.open_order = 0;
+        hold.next_try = now + timing_.order_retry;
+        if (end != order_end::done && end != order_end::gone)
+            continue;
+        hold.ended = true;
+        range.handover = range.former.size() == 1 ? handover : "";
+    }
+}
+
+void range_manager::ordered_grant(time_point now, managed_range& range, order_end end) const
+{
+    range.open_order = 0;
+    range.failing = end != order_end::done;
+    range.next_grant = now + (end == order_end::done ? timing_.renew_every : timing_.order_retry);
+    switch (end) {
+    case order_end::done:
+        range.held_until = range.open_since + timing_.hold;
+        range.hold_until = now + longest_hold() + hold_margin;
+        range.handover.clear();
+        break;
+    case order_end::not_sent:
+        range.hold_until = range.hold_before;
+        break;
+    case order_end::gone:
+        range.owner_gone = true;
+        break;
+    case order_end::conflict:
+        range.outfenced = true;
+        range.hold_until = range.hold_before;
+        break;
+    case order_end::unknown:
+        range.hold_until = std::max(range.hold_until, now + longest_hold() + hold_margin);
+        break;
+    }
+}
+
+std::uint32_t range_manager::unserved_keys(time_point now, std::string_view service) const
+{
+    std::uint32_t unserved = 0;
+    if (const auto found = ranges_.find(service); found != ranges_.end())
+        for (const auto& range : found->second)
+            unserved += range.held_until < now ? range.keys.size() : 0;
+    return unserved;
+}
+
+} // namespace teaseltally
