Share the store's streams within a data centre

Ruled out: longer pauses between reads, which would use up the time in which a draining target has to be left.

Change: the first live instance of each data centre reads the store and hands records on; the others follow it, fall back to the next, to the store and to other data centres.

--- /dev/null
+++ b/include/teaseltally/net/peer_feed.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <teaseltally/knowledge/record_stream.hpp>
+#include <teaseltally/net/http.hpp>
+#include <teaseltally/net/notifier.hpp>
+
+#include <array>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+/// @file
+/// Hands streams on between instances, so that few of them read the store.
+
+namespace teaseltally {
+
+/// Another instance.
+struct feed_member {
+    std::string instance;
+    std::string data_centre;
+    /// "IP:PORT" of its peer interface.
+    std::string address;
+    auto operator<=>(const feed_member&) const = default;
+};
+
+/// Reads a member from the value of its record.
+[[nodiscard]] std::optional<feed_member> decode_member(std::string_view instance, std::string_view text);
+/// Writes a member as the value of its record.
+[[nodiscard]] std::string encode(const feed_member& member);
+
+/// Follows the first live instance of the data centre, in order of names; that one reads the store itself.
+/// An instance that cannot be reached, or whose own knowledge is old, is passed over, and an instance that
+/// the store turns away takes what it needs from any other.
+class peer_feed {
+public:
+    using streams = std::array<record_stream, stream_kinds>;
+    /// Takes in what another instance sent.
+    using delta_sink = std::function<void(stream_kind, const stream_delta&)>;
+
+    /// @param known streams of this instance; they outlive the feed.
+    peer_feed(asio::any_io_executor executor, http_client& client, feed_member self, const streams& known,
+              delta_sink sink);
+
+    void set_members(std::vector<feed_member> members) { members_ = std::move(members); }
+    /// Follows others for as long as the process runs.
+    [[nodiscard]] asio::awaitable<void> run();
+    /// @returns whether this instance has to read the store itself.
+    [[nodiscard]] bool reads_store() const noexcept { return reads_store_; }
+    /// Answers another instance with what it lacks, as soon as there is something.
+    [[nodiscard]] asio::awaitable<http_response> answer(http_request request);
+    /// Wakes those who wait for news.
+    void changed();
+
+private:
+    struct backoff {
+        unsigned failures = 0;
+        time_point until{};
+    };
+
+    [[nodiscard]] bool knowledge_is_fresh(time_point now) const;
+    [[nodiscard]] std::vector<feed_member> preferred() const;
+    [[nodiscard]] std::vector<feed_member> fallbacks() const;
+    [[nodiscard]] asio::awaitable<bool> follow_first(std::vector<feed_member> candidates);
+    [[nodiscard]] asio::awaitable<bool> follow_once(feed_member from);
+    void note_failure(const std::string& instance, time_point now);
+    [[nodiscard]] std::string question() const;
+
+    asio::any_io_executor executor_;
+    http_client& client_;
+    feed_member self_;
+    const streams& known_;
+    delta_sink sink_;
+    std::vector<feed_member> members_;
+    std::map<std::string, backoff, std::less<>> backoffs_;
+    std::list<notifier*> waiting_;
+    bool reads_store_ = true;
+};
+
+} // namespace teaseltally
--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -36,6 +36,7 @@
     time_point started{};
     double occupancy = 0;
     bool ended = false;
+    time_point ended_at{};
     bool taken_in = false;
     exchange_result result;
 };
@@ -115,6 +116,8 @@
     [[nodiscard]] unsigned instances() const noexcept { return instances_; }
 
 private:
+    /// Number of instances assumed before it is known: large, so that shared limits hold.
+    static constexpr unsigned unknown_instances = 40;
     struct service_state {
         explicit service_state(retry_budget allowed) : budget(allowed) {}
         retry_budget budget;
@@ -132,6 +135,7 @@
     [[nodiscard]] std::shared_ptr<target_node> choose_target(const routed_request& request,
                                                              service_state& state);
     [[nodiscard]] std::shared_ptr<target_node> owner_of(const routed_request& request) const;
+    [[nodiscard]] bool may_ask_owner(const routed_request& request, const target_node& owner) const;
     [[nodiscard]] bool has_room(target_node& node, bool keyed) const;
     [[nodiscard]] bool wants_attempt(const routed_request& request, time_point now,
                                      time_point hedge_at) const;
@@ -151,6 +155,7 @@
     [[nodiscard]] http_response give_up(routed_request& request, std::string_view cause,
                                         milliseconds come_back) const;
     [[nodiscard]] time_point patience(const routed_request& request, service_state& state) const;
+    [[nodiscard]] double budget_capacity() const noexcept;
     [[nodiscard]] unsigned connection_limit(const std::string& service) const;
     void wake_waiting(service_state& state);
     void enqueue(routed_request& request, service_state& state);
@@ -166,7 +171,7 @@
     key_counts counts_;
     /// Credit of each part of a route, for the smooth weighted choice.
     std::map<std::string, std::vector<double>, std::less<>> part_credits_;
-    unsigned instances_ = 12;
+    unsigned instances_ = unknown_instances;
     std::mt19937_64 random_{std::random_device{}()};
     std::uint64_t logged_ = 0;
 };
--- a/include/teaseltally/ownership/balancer.hpp
+++ b/include/teaseltally/ownership/balancer.hpp
@@ -27,7 +27,7 @@
 
 private:
     /// Time constant of the average in seconds: long enough to see tens of requests of a hot range.
-    static constexpr double window_s = 1.5;
+    static constexpr double window_s = 1.0;
     std::vector<float> rates_;
 };
 
--- a/include/teaseltally/ownership/range_manager.hpp
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -18,14 +18,14 @@
 struct ownership_timing {
     /// How long a grant lasts from its arrival at the target.
     milliseconds hold{6000};
-    milliseconds renew_every{1500};
+    milliseconds renew_every{2000};
     /// How long a coordinator may send grants after the log last accepted a record of its term.
     milliseconds authority{12'000};
     milliseconds heartbeat{1000};
     /// Silence of the coordinator after which another takes over.
     milliseconds takeover_after{2500};
     milliseconds order_retry{300};
-    milliseconds balance_every{500};
+    milliseconds balance_every{250};
     /// Greatest time that an order needs to arrive at a target, or to be given up.
     milliseconds order_timeout{1000};
 };
--- a/src/admission/target_load.cpp
+++ b/src/admission/target_load.cpp
@@ -12,6 +12,8 @@
 constexpr double report_age_us = 400'000;
 /// Weight of one answer in the average service time.
 constexpr double service_weight = 0.15;
+/// The same for an answer that waited at the target for an unknown part of its time.
+constexpr double queued_weight = 0.02;
 /// Weight of one answer or refusal in the rate of refusals.
 constexpr double refusal_weight = 0.2;
 /// How much slower a target answers that has just started (SYSTEM.md: cold_x of both sites).
@@ -66,7 +68,8 @@
     double sample = static_cast<double>(took.count()) / queueing;
     if (now < cold_until_)
         sample /= cold_factor;
-    service_us_ += (sample - service_us_) * service_weight;
+    const bool queued = occupancy_at_start > slots_;
+    service_us_ += (sample - service_us_) * (queued ? queued_weight : service_weight);
     refusal_rate_ -= refusal_rate_ * refusal_weight;
 }
 
--- /dev/null
+++ b/src/net/peer_feed.cpp
@@ -0,0 +1,236 @@
+#include <teaseltally/net/peer_feed.hpp>
+
+#include <teaseltally/json.hpp>
+
+#include <algorithm>
+
+namespace teaseltally {
+namespace {
+
+/// How long an instance lets another wait for news.
+constexpr milliseconds longest_wait{400};
+/// Time beyond the wait after which the other instance counts as gone.
+constexpr milliseconds answer_time{300};
+/// Age of an instance's knowledge above which it is not followed: two reads of the store.
+constexpr milliseconds stale_age{1100};
+constexpr milliseconds first_backoff{500};
+constexpr milliseconds longest_backoff{8000};
+constexpr unsigned most_doublings = 4;
+/// Time between two attempts to follow somebody while this instance reads the store.
+constexpr milliseconds reader_pause{400};
+/// Streams whose age decides whether an instance is followed.
+constexpr std::array aged_streams{stream_kind::targets, stream_kind::ownership};
+
+std::size_t index_of(stream_kind kind)
+{
+    return static_cast<std::size_t>(kind);
+}
+
+Json::Value encode_delta(const stream_delta& delta)
+{
+    Json::Value object;
+    object["snapshot"] = delta.snapshot;
+    object["next"] = to_json(delta.next);
+    object["age"] = Json::Value{static_cast<Json::Int64>(delta.age.count())};
+    auto& records = object["records"] = Json::Value(Json::arrayValue);
+    for (const auto& record : delta.records) {
+        Json::Value row(Json::arrayValue);
+        row.append(to_json(record.offset));
+        row.append(record.key);
+        row.append(record.value ? Json::Value{*record.value} : Json::Value{});
+        records.append(row);
+    }
+    return object;
+}
+
+std::optional<stream_delta> decode_delta(const Json::Value& object)
+{
+    if (!object.isObject() || !object["snapshot"].isBool() || !object["next"].isUInt64() ||
+        !object["age"].isInt64() || !object["records"].isArray())
+        return std::nullopt;
+    stream_delta delta;
+    delta.snapshot = object["snapshot"].asBool();
+    delta.next = object["next"].asUInt64();
+    delta.age = milliseconds{std::max<std::int64_t>(object["age"].asInt64(), 0)};
+    for (const auto& row : object["records"]) {
+        if (!row.isArray() || row.size() != 3 || !row[0].isUInt64() || !row[1].isString() ||
+            !(row[2].isNull() || row[2].isString()))
+            return std::nullopt;
+        stream_record record{row[1].asString(), std::nullopt, row[0].asUInt64()};
+        if (row[2].isString())
+            record.value = row[2].asString();
+        delta.records.push_back(std::move(record));
+    }
+    return delta;
+}
+
+std::optional<std::uint64_t> position_from(const Json::Value& value)
+{
+    return value.isUInt64() ? std::optional{value.asUInt64()} : std::nullopt;
+}
+
+} // namespace
+
+std::optional<feed_member> decode_member(std::string_view instance, std::string_view text)
+{
+    const auto parsed = parse_json(text, "member");
+    const auto* object = std::get_if<Json::Value>(&parsed);
+    if (object == nullptr || !object->isObject() || !(*object)["data_centre"].isString() ||
+        !(*object)["address"].isString())
+        return std::nullopt;
+    return feed_member{std::string{instance}, (*object)["data_centre"].asString(),
+                       (*object)["address"].asString()};
+}
+
+std::string encode(const feed_member& member)
+{
+    Json::Value object;
+    object["data_centre"] = member.data_centre;
+    object["address"] = member.address;
+    return json_text(object);
+}
+
+peer_feed::peer_feed(asio::any_io_executor executor, http_client& client, feed_member self,
+                     const streams& known, delta_sink sink)
+    : executor_(std::move(executor)), client_(client), self_(std::move(self)), known_(known),
+      sink_(std::move(sink))
+{
+}
+
+bool peer_feed::knowledge_is_fresh(time_point now) const
+{
+    return std::ranges::all_of(
+        aged_streams, [&](stream_kind kind) { return now - known_[index_of(kind)].read_sent() < stale_age; });
+}
+
+std::vector<feed_member> peer_feed::preferred() const
+{
+    const auto now = boot_clock::now();
+    std::vector<feed_member> found;
+    for (const auto& member : members_) {
+        if (member.data_centre != self_.data_centre || member.instance >= self_.instance)
+            continue;
+        const auto held = backoffs_.find(member.instance);
+        if (held == backoffs_.end() || held->second.until <= now)
+            found.push_back(member);
+    }
+    std::ranges::sort(found);
+    return found;
+}
+
+std::vector<feed_member> peer_feed::fallbacks() const
+{
+    const auto now = boot_clock::now();
+    std::vector<feed_member> found;
+    for (const auto& member : members_) {
+        const auto held = backoffs_.find(member.instance);
+        if (member.instance != self_.instance && (held == backoffs_.end() || held->second.until <= now))
+            found.push_back(member);
+    }
+    std::ranges::sort(found, {}, [&](const feed_member& member) {
+        return std::pair{member.data_centre != self_.data_centre, member.instance};
+    });
+    return found;
+}
+
+void peer_feed::note_failure(const std::string& instance, time_point now)
+{
+    auto& held = backoffs_[instance];
+    held.until =
+        now + std::min(first_backoff * (1U << std::min(held.failures, most_doublings)), longest_backoff);
+    ++held.failures;
+}
+
+std::string peer_feed::question() const
+{
+    Json::Value positions(Json::arrayValue);
+    for (const auto& stream : known_)
+        positions.append(stream.known() ? to_json(stream.next()) : Json::Value{});
+    return json_text(positions);
+}
+
+asio::awaitable<bool> peer_feed::follow_once(feed_member from)
+{
+    const auto address = parse_endpoint(from.address);
+    if (failure(address) != nullptr)
+        co_return false;
+    auto request = make_request(boost::beast::http::verb::post, "/feed", question());
+    const auto deadline = boot_clock::now() + longest_wait + answer_time;
+    auto outcome = co_await client_.exchange(std::get<tcp_endpoint>(address), std::move(request), deadline);
+    const auto* response = std::get_if<http_response>(&outcome);
+    if (response == nullptr || response->result_int() != 200)
+        co_return false;
+    const auto parsed = parse_json(response->body(), "peer");
+    const auto* answer = std::get_if<Json::Value>(&parsed);
+    if (answer == nullptr || !answer->isArray() || answer->size() != stream_kinds)
+        co_return false;
+    for (std::size_t kind = 0; kind < stream_kinds; ++kind) {
+        const auto delta = decode_delta((*answer)[static_cast<Json::ArrayIndex>(kind)]);
+        if (!delta)
+            co_return false;
+        sink_(static_cast<stream_kind>(kind), *delta);
+    }
+    co_return knowledge_is_fresh(boot_clock::now());
+}
+
+asio::awaitable<bool> peer_feed::follow_first(std::vector<feed_member> candidates)
+{
+    for (const auto& member : candidates) {
+        if (co_await follow_once(member)) {
+            backoffs_.erase(member.instance);
+            co_return true;
+        }
+        note_failure(member.instance, boot_clock::now());
+    }
+    co_return false;
+}
+
+asio::awaitable<void> peer_feed::run()
+{
+    while (true) {
+        const bool followed = co_await follow_first(preferred());
+        if (followed) {
+            reads_store_ = false;
+            continue;
+        }
+        reads_store_ = true;
+        co_await sleep_for(reader_pause);
+        if (!knowledge_is_fresh(boot_clock::now()))
+            co_await follow_first(fallbacks());
+    }
+}
+
+void peer_feed::changed()
+{
+    for (auto* waiter : waiting_)
+        waiter->notify();
+}
+
+asio::awaitable<http_response> peer_feed::answer(http_request request)
+{
+    const auto parsed = parse_json(request.body(), "peer");
+    const auto* positions = std::get_if<Json::Value>(&parsed);
+    if (positions == nullptr || !positions->isArray() || positions->size() != stream_kinds)
+        co_return make_response(400, "positions of streams are missing\n");
+    std::array<std::optional<std::uint64_t>, stream_kinds> from;
+    for (std::size_t kind = 0; kind < stream_kinds; ++kind)
+        from[kind] = position_from((*positions)[static_cast<Json::ArrayIndex>(kind)]);
+    const auto has_news = [&] {
+        for (std::size_t kind = 0; kind < stream_kinds; ++kind)
+            if (known_[kind].has_news(from[kind]))
+                return true;
+        return false;
+    };
+    const auto until = boot_clock::now() + longest_wait;
+    notifier wake(executor_);
+    const auto place = waiting_.insert(waiting_.end(), &wake);
+    while (!has_news() && boot_clock::now() < until)
+        static_cast<void>(co_await wake.wait_until(until));
+    waiting_.erase(place);
+    Json::Value answer(Json::arrayValue);
+    for (std::size_t kind = 0; kind < stream_kinds; ++kind)
+        answer.append(encode_delta(known_[kind].since(from[kind], boot_clock::now())));
+    co_return make_response(200, json_text(answer), "application/json");
+}
+
+} // namespace teaseltally
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -32,6 +32,10 @@
 constexpr double hedge_services = 3.0;
 constexpr microseconds new_target_service{100'000};
 constexpr double average_weight = 0.1;
+/// Time after which the new owner of a range is asked although its grant was not seen.
+constexpr milliseconds longest_handover{1000};
+/// Pause before a target that did not hold a key is asked again.
+constexpr milliseconds misdirected_pause{150};
 constexpr milliseconds shortest_come_back{50};
 constexpr milliseconds longest_come_back{1000};
 /// One line is written for this many requests that succeed.
@@ -107,8 +111,7 @@
 {
     auto found = services_.find(service);
     if (found == services_.end()) {
-        const retry_budget budget(settings_.retry_ratio * budget_share,
-                                  settings_.retry_slack * budget_share / instances_);
+        const retry_budget budget(settings_.retry_ratio * budget_share, budget_capacity());
         found = services_.emplace(service, service_state{budget}).first;
     }
     return found->second;
@@ -167,11 +170,16 @@
                 request->wake.notify();
 }
 
+double request_router::budget_capacity() const noexcept
+{
+    return std::max(1.0, settings_.retry_slack * budget_share / instances_);
+}
+
 void request_router::set_instances(unsigned instances)
 {
     instances_ = std::max(1U, instances);
     for (auto& [name, state] : services_)
-        state.budget.resize(settings_.retry_slack * budget_share / instances_);
+        state.budget.resize(budget_capacity());
 }
 
 void request_router::housekeeping()
@@ -238,7 +246,9 @@
 {
     const auto* owners = ownership_ == nullptr ? nullptr : ownership_->find(request.service);
     const auto* range = owners == nullptr ? nullptr : owners->find(*request.key);
-    if (range == nullptr)
+    // A range with former owners has not been granted to the new one yet.
+    if (range == nullptr ||
+        (!range->former.empty() && boot_clock::now() - request.received < longest_handover))
         return nullptr;
     const auto found = targets_.find(range->owner.id);
     if (found == targets_.end() || found->second->entry().draining ||
@@ -247,6 +257,15 @@
     return found->second;
 }
 
+bool request_router::may_ask_owner(const routed_request& request, const target_node& owner) const
+{
+    if (request.attempts.empty())
+        return true;
+    const auto& last = *request.attempts.back();
+    return last.target.get() != &owner || last.result.end != exchange_end::misdirected ||
+           boot_clock::now() - last.ended_at > misdirected_pause;
+}
+
 bool request_router::has_room(target_node& node, bool keyed) const
 {
     const auto now = boot_clock::now();
@@ -259,7 +278,7 @@
 {
     if (request.key) {
         auto owner = owner_of(request);
-        return owner && has_room(*owner, true) ? owner : nullptr;
+        return owner && has_room(*owner, true) && may_ask_owner(request, *owner) ? owner : nullptr;
     }
     const bool first_in_line = state.waiting.empty() || state.waiting.front() == &request;
     if (!first_in_line && request.sends == 0)
@@ -347,6 +366,7 @@
                                                     std::move(connection), request->final_at);
     attempt->stream = nullptr;
     attempt->ended = true;
+    attempt->ended_at = boot_clock::now();
     note_end(*request, *attempt);
     request->wake.notify();
 }
--- a/src/ownership/balancer.cpp
+++ b/src/ownership/balancer.cpp
@@ -10,6 +10,13 @@
 constexpr double us_per_s = 1e6;
 /// Pieces into which a range without an owner is cut.
 constexpr std::uint32_t vacated_pieces = 4;
+/// The first spread makes about this many ranges, so that neighbouring keys have different owners.
+constexpr std::size_t spread_ranges = 96;
+constexpr std::size_t most_rounds = 6;
+/// A key dominates its owner above this share of the owner's capacity.
+constexpr double dominant_share = 0.4;
+/// A dominant key moves to a target that is faster by this factor.
+constexpr double worth_moving = 1.3;
 /// A moved window carries between these shares of the load that would level two targets.
 constexpr double least_share = 0.6;
 constexpr double most_share = 1.15;
@@ -36,21 +43,34 @@
     {
         return loads_[index] / targets_[index].capacity;
     }
-    [[nodiscard]] std::size_t idlest() const { return extreme(std::less<>{}); }
-    [[nodiscard]] std::size_t busiest() const { return extreme(std::greater<>{}); }
-    void add(std::size_t index, double rate) { loads_[index] += rate; }
-
-private:
-    template <typename Compare>
-    [[nodiscard]] std::size_t extreme(Compare better) const
+    [[nodiscard]] double rate(std::size_t index) const { return loads_[index]; }
+    [[nodiscard]] std::size_t idlest() const
+    {
+        std::size_t best = 0;
+        for (std::size_t index = 1; index < targets_.size(); ++index)
+            if (utilisation(index) < utilisation(best))
+                best = index;
+        return best;
+    }
+    [[nodiscard]] std::optional<std::size_t> busiest(const std::vector<bool>& except) const
+    {
+        std::optional<std::size_t> best;
+        for (std::size_t index = 0; index < targets_.size(); ++index)
+            if (!except[index] && (!best || utilisation(index) > utilisation(*best)))
+                best = index;
+        return best;
+    }
+    [[nodiscard]] std::size_t fastest() const
     {
         std::size_t best = 0;
         for (std::size_t index = 1; index < targets_.size(); ++index)
-            if (better(utilisation(index), utilisation(best)))
+            if (targets_[index].capacity > targets_[best].capacity)
                 best = index;
         return best;
     }
+    void add(std::size_t index, double rate) { loads_[index] += rate; }
 
+private:
     std::span<const balance_target> targets_;
     std::vector<double> loads_;
 };
@@ -79,6 +99,22 @@
     return best;
 }
 
+/// Finds the key with the most load among those that an owner may give away.
+std::optional<window> hottest_key(const assignment& current, std::string_view owner, const key_load& load)
+{
+    std::optional<window> best;
+    for (const auto& range : current.ranges()) {
+        if (range.owner.id != owner || !range.former.empty())
+            continue;
+        for (std::uint32_t key = range.keys.first; key <= range.keys.last; ++key) {
+            const auto number = static_cast<key_number>(key);
+            if (!best || load.rate(number) > best->rate)
+                best = window{{number, number}, load.rate(number)};
+        }
+    }
+    return best;
+}
+
 std::optional<window> narrowest_window(const assignment& current, std::string_view owner, double wanted,
                                        const key_load& load)
 {
@@ -114,21 +150,26 @@
 
 std::vector<balance_move> spread_evenly(std::span<const balance_target> targets)
 {
+    std::vector<balance_move> moves;
+    if (targets.empty())
+        return moves;
+    const auto rounds = std::clamp<std::size_t>(spread_ranges / targets.size(), 1, most_rounds);
     double total = 0;
     for (const auto& target : targets)
         total += target.capacity;
-    std::vector<balance_move> moves;
+    total *= static_cast<double>(rounds);
     double before = 0;
     std::uint32_t first = 0;
     const double keys = last_key + 1.0;
-    for (std::size_t index = 0; index < targets.size(); ++index) {
-        before += targets[index].capacity;
-        const auto end = index + 1 == targets.size() ? std::uint32_t{last_key} + 1
-                                                     : static_cast<std::uint32_t>(keys * before / total);
+    for (std::size_t piece = 0; piece < rounds * targets.size(); ++piece) {
+        const auto& target = targets[piece % targets.size()];
+        before += target.capacity;
+        const bool final = piece + 1 == rounds * targets.size();
+        const auto end =
+            final ? std::uint32_t{last_key} + 1 : static_cast<std::uint32_t>(keys * before / total);
         if (end <= first)
             continue;
-        moves.push_back(
-            {{static_cast<key_number>(first), static_cast<key_number>(end - 1)}, targets[index].life});
+        moves.push_back({{static_cast<key_number>(first), static_cast<key_number>(end - 1)}, target.life});
         first = end;
     }
     return moves;
@@ -176,20 +217,37 @@
         return moves;
     load_table table(targets, current, load);
     assignment planned = current;
+    std::vector<bool> settled(targets.size(), false);
     while (moves.size() < limits.moves) {
-        const auto busy = table.busiest();
-        const auto idle = table.idlest();
-        const double difference = table.utilisation(busy) - table.utilisation(idle);
-        if (table.utilisation(busy) < limits.busy || difference < limits.difference)
+        const auto busiest = table.busiest(settled);
+        if (!busiest)
             break;
-        const double wanted = difference / (1 / targets[busy].capacity + 1 / targets[idle].capacity);
-        const auto found = narrowest_window(planned, targets[busy].life.id, wanted, load);
-        if (!found)
+        const auto busy = *busiest;
+        auto to = table.idlest();
+        const double difference = table.utilisation(busy) - table.utilisation(to);
+        if (table.utilisation(busy) < limits.busy || difference < limits.difference)
             break;
-        moves.push_back({found->keys, targets[idle].life});
-        planned.give(found->keys, targets[idle].life, 0);
+        const double wanted = difference / (1 / targets[busy].capacity + 1 / targets[to].capacity);
+        const auto hot = hottest_key(planned, targets[busy].life.id, load);
+        const bool dominant = hot && hot->rate > targets[busy].capacity * dominant_share;
+        std::optional<window> found;
+        if (const auto faster = dominant ? table.fastest() : busy;
+            targets[faster].capacity > targets[busy].capacity * worth_moving) {
+            found = hot;
+            to = faster;
+        }
+        else {
+            const double rest = dominant ? (table.rate(busy) - hot->rate) / 2 : wanted;
+            found = narrowest_window(planned, targets[busy].life.id, std::min(wanted, rest), load);
+        }
+        if (!found || found->rate <= 0) {
+            settled[busy] = true;
+            continue;
+        }
+        moves.push_back({found->keys, targets[to].life});
+        planned.give(found->keys, targets[to].life, 0);
         table.add(busy, -found->rate);
-        table.add(idle, found->rate);
+        table.add(to, found->rate);
     }
     return moves;
 }
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -228,7 +228,7 @@
     bool settled = false;
     next.settle([&](const owned_range& range) {
         const auto* state = state_of(range);
-        const bool ended = !range.former.empty() && state != nullptr &&
+        const bool ended = !range.former.empty() && state != nullptr && state->held_until > now &&
                            std::ranges::all_of(state->former, [&](const former_hold& hold) {
                                return hold.ended || hold.until < now;
                            });
