Estimate targets' speeds from all instances' answers

Ruled out: speeds from all answers, which count waiting at the target as slowness and make an overloaded owner look slow.

Change: instances report answers that did not wait and answers of saturated targets; a saturated target's rate of answers is its capacity; a single key rests for 3 s after it moved.

--- a/include/teaseltally/admission/target_load.hpp
+++ b/include/teaseltally/admission/target_load.hpp
@@ -40,7 +40,8 @@
     /// Notes a whole answer.
     /// @param took time since the request was sent.
     /// @param occupancy_at_start requests at the target when it was sent, itself included.
-    void answered(time_point now, microseconds took, double occupancy_at_start) noexcept;
+    /// @returns the time that the request took without waiting for others at the target.
+    microseconds answered(time_point now, microseconds took, double occupancy_at_start) noexcept;
     /// Notes a refusal that states that the request was not executed.
     void refused(time_point now) noexcept;
     /// Notes a connection that failed or an answer that did not come.
@@ -70,6 +71,8 @@
 private:
     unsigned slots_;
     double service_us_;
+    /// Answers seen; the first ones weigh more.
+    double answers_ = 0;
     unsigned in_flight_ = 0;
     double others_ = 0;
     time_point reported_at_{};
--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -74,9 +74,20 @@
     void abandon();
 };
 
-/// Requests and keys counted since the last report.
+/// Answers of one target since the last report.
+struct service_samples {
+    unsigned answers = 0;
+    /// Answers with which the target stated that requests wait there.
+    unsigned saturated = 0;
+    /// Answers that did not wait, and the time that they took together.
+    unsigned alone = 0;
+    microseconds alone_total{0};
+};
+
+/// Requests by key and the speed of keyed targets, seen since the last report.
 struct key_counts {
     std::map<std::string, std::map<key_number, unsigned>, std::less<>> services;
+    std::map<std::string, service_samples, std::less<>> targets;
 };
 
 /// Routes requests by what this instance knows.
@@ -148,6 +159,7 @@
                                                     std::unique_ptr<target_connection> connection);
     [[nodiscard]] std::shared_ptr<const http_request> outgoing(const routed_request& request,
                                                                const target_node& target) const;
+    void note_speed(const routed_attempt& attempt, microseconds alone);
     void note_end(const routed_request& request, routed_attempt& attempt);
     [[nodiscard]] std::optional<http_response> take_in(routed_request& request, routed_attempt& attempt);
     [[nodiscard]] asio::awaitable<std::optional<http_response>>
--- a/include/teaseltally/ownership/balancer.hpp
+++ b/include/teaseltally/ownership/balancer.hpp
@@ -51,11 +51,13 @@
 /// Limits of one round of balancing.
 struct balance_limits {
     /// Load of the busiest target, relative to its capacity, below which nothing moves.
-    double busy = 0.7;
+    double busy = 0.55;
     /// Difference to the idlest target below which nothing moves.
-    double difference = 0.25;
+    double difference = 0.2;
     /// Greatest number of moves.
     std::size_t moves = 6;
+    /// Whether a key that dominates its owner may move to a faster target.
+    bool move_dominant = true;
 };
 
 /// Gives ranges whose owners are gone to the least busy targets, cut into pieces of bounded load.
--- a/include/teaseltally/ownership/range_manager.hpp
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -2,6 +2,7 @@
 
 #include <teaseltally/knowledge/target_directory.hpp>
 #include <teaseltally/ownership/balancer.hpp>
+#include <teaseltally/ownership/target_speed.hpp>
 
 #include <map>
 #include <optional>
@@ -26,6 +27,8 @@
     milliseconds takeover_after{2500};
     milliseconds order_retry{300};
     milliseconds balance_every{250};
+    /// Time after a single key moved before another one may: about as long as a key stays hot.
+    milliseconds dominant_pause{3000};
     /// Greatest time that an order needs to arrive at a target, or to be given up.
     milliseconds order_timeout{1000};
 };
@@ -101,8 +104,8 @@
 
     /// Adds requests seen for a key.
     void note_load(std::string_view service, key_number key, double requests);
-    /// Sets the requests a second that a target can answer.
-    void note_capacity(std::string_view target, double requests_per_s);
+    /// Takes in what an instance saw of a target.
+    void note_speed(std::string_view target, const speed_report& report);
 
     /// Decides what is due.
     [[nodiscard]] std::vector<ownership_action> tick(time_point now, const ownership_view& view);
@@ -111,6 +114,15 @@
     /// Takes in the end of an order.
     void ordered(time_point now, std::uint64_t id, order_end end, std::string handover);
 
+    /// Load of one target that owns keys.
+    struct target_share {
+        std::string target;
+        double requests_per_s = 0;
+        double capacity = 0;
+    };
+    /// @returns the load of the targets of a service, for the log.
+    [[nodiscard]] std::vector<target_share> shares(const ownership_view& view, const std::string& service) const;
+
     /// @returns whether this instance coordinates.
     [[nodiscard]] bool coordinates() const noexcept { return coordinates_; }
     /// @returns when the right to send grants ends.
@@ -170,6 +182,10 @@
     void plan(time_point now, const ownership_view& view, std::vector<ownership_action>& out);
     [[nodiscard]] std::optional<assignment> plan_service(time_point now, const ownership_view& view,
                                                          const std::string& service, std::uint64_t fence);
+    [[nodiscard]] std::vector<balance_move> level(time_point now, const std::string& service,
+                                                  const assignment& current,
+                                                  const std::vector<balance_target>& targets);
+    [[nodiscard]] double average_service_us(const ownership_view& view, const std::string& service) const;
     [[nodiscard]] std::vector<balance_target> candidates(const ownership_view& view,
                                                          const std::string& service) const;
     void send_orders(time_point now, std::vector<ownership_action>& out);
@@ -199,11 +215,12 @@
     std::uint64_t reconciled_position_ = 0;
     bool adopt_next_ = false;
     time_point next_balance_{};
+    std::map<std::string, time_point, std::less<>> next_dominant_;
     std::uint64_t next_order_ = 1;
     std::map<std::uint64_t, open_grant> open_grants_;
     std::map<std::string, service_ranges, std::less<>> ranges_;
     std::map<std::string, key_load, std::less<>> loads_;
-    std::map<std::string, double, std::less<>> capacities_;
+    std::map<std::string, target_speed, std::less<>> speeds_;
 };
 
 } // namespace teaseltally
--- a/src/admission/target_load.cpp
+++ b/src/admission/target_load.cpp
@@ -13,7 +13,7 @@
 /// Weight of one answer in the average service time.
 constexpr double service_weight = 0.15;
 /// The same for an answer that waited at the target for an unknown part of its time.
-constexpr double queued_weight = 0.02;
+constexpr double queued_weight = 0.05;
 /// Weight of one answer or refusal in the rate of refusals.
 constexpr double refusal_weight = 0.2;
 /// How much slower a target answers that has just started (SYSTEM.md: cold_x of both sites).
@@ -59,7 +59,7 @@
         --in_flight_;
 }
 
-void target_load::answered(time_point now, microseconds took, double occupancy_at_start) noexcept
+microseconds target_load::answered(time_point now, microseconds took, double occupancy_at_start) noexcept
 {
     progress_at_ = now;
     failures_ = 0;
@@ -69,8 +69,11 @@
     if (now < cold_until_)
         sample /= cold_factor;
     const bool queued = occupancy_at_start > slots_;
-    service_us_ += (sample - service_us_) * (queued ? queued_weight : service_weight);
+    ++answers_;
+    const double weight = std::max(queued ? queued_weight : service_weight, 1.0 / answers_);
+    service_us_ += (sample - service_us_) * weight;
     refusal_rate_ -= refusal_rate_ * refusal_weight;
+    return microseconds{static_cast<std::int64_t>(sample)};
 }
 
 void target_load::refused(time_point now) noexcept
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -371,6 +371,20 @@
     request->wake.notify();
 }
 
+void request_router::note_speed(const routed_attempt& attempt, microseconds alone)
+{
+    const auto& load = attempt.target->load();
+    const bool saturated = attempt.result.load && attempt.result.load->waiting > 0;
+    auto& samples = counts_.targets[attempt.target->entry().id];
+    ++samples.answers;
+    if (saturated)
+        ++samples.saturated;
+    if (saturated || attempt.occupancy > load.slots())
+        return;
+    ++samples.alone;
+    samples.alone_total += alone;
+}
+
 void request_router::note_end(const routed_request& request, routed_attempt& attempt)
 {
     const auto now = boot_clock::now();
@@ -387,7 +401,9 @@
     state.last_end = now;
     switch (result.end) {
     case exchange_end::answered: {
-        load.answered(now, now - attempt.started, attempt.occupancy);
+        const auto alone = load.answered(now, now - attempt.started, attempt.occupancy);
+        if (request.key)
+            note_speed(attempt, alone);
         const auto difference = static_cast<double>((load.service_time() - state.service_time).count());
         state.service_time += microseconds{std::llround(difference * average_weight)};
         break;
--- a/src/ownership/balancer.cpp
+++ b/src/ownership/balancer.cpp
@@ -231,7 +231,7 @@
         const auto hot = hottest_key(planned, targets[busy].life.id, load);
         const bool dominant = hot && hot->rate > targets[busy].capacity * dominant_share;
         std::optional<window> found;
-        if (const auto faster = dominant ? table.fastest() : busy;
+        if (const auto faster = dominant && limits.move_dominant ? table.fastest() : busy;
             targets[faster].capacity > targets[busy].capacity * worth_moving) {
             found = hot;
             to = faster;
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -5,8 +5,9 @@
 namespace teaseltally {
 namespace {
 
-/// Capacity assumed for a target of which no speed is known, in requests a second for each slot.
-constexpr double default_rate_per_slot = 5.0;
+/// Time of an answer assumed while no target's is known.
+constexpr double default_service_us = 200'000;
+constexpr double us_per_s = 1e6;
 /// Time beyond a grant's hold for clocks and delivery.
 constexpr milliseconds hold_margin{150};
 
@@ -30,9 +31,12 @@
     found->second.add(key, requests);
 }
 
-void range_manager::note_capacity(std::string_view target, double requests_per_s)
+void range_manager::note_speed(std::string_view target, const speed_report& report)
 {
-    capacities_.insert_or_assign(std::string{target}, requests_per_s);
+    auto found = speeds_.find(target);
+    if (found == speeds_.end())
+        found = speeds_.emplace(std::string{target}, target_speed{}).first;
+    found->second.add(report);
 }
 
 std::vector<ownership_action> range_manager::tick(time_point now, const ownership_view& view)
@@ -43,6 +47,9 @@
     for (auto& [service, load] : loads_)
         load.decay(now - last_tick_);
     last_tick_ = now;
+    for (auto& [id, speed] : speeds_)
+        if (const auto* entry = view.directory.find(id))
+            speed.tick(now, entry->slots);
     if (unsettled_since_ && view.read_sent > *unsettled_since_)
         unsettled_since_.reset();
     if (!coordinates_) {
@@ -174,9 +181,25 @@
     return former;
 }
 
+double range_manager::average_service_us(const ownership_view& view, const std::string& service) const
+{
+    double sum = 0;
+    double known = 0;
+    for (const auto& [id, speed] : speeds_) {
+        const auto* entry = view.directory.find(id);
+        const auto time = speed.service_time();
+        if (entry == nullptr || entry->service != service || !time)
+            continue;
+        sum += static_cast<double>(time->count());
+        ++known;
+    }
+    return known > 0 ? sum / known : default_service_us;
+}
+
 std::vector<balance_target> range_manager::candidates(const ownership_view& view,
                                                       const std::string& service) const
 {
+    const auto average = average_service_us(view, service);
     std::vector<balance_target> targets;
     for (const auto& [id, entry] : view.directory.entries()) {
         if (entry.service != service || entry.draining)
@@ -188,9 +211,10 @@
             });
         if (failing)
             continue;
-        const auto known = capacities_.find(id);
-        targets.push_back({{entry.id, entry.born, entry.address},
-                           known == capacities_.end() ? entry.slots * default_rate_per_slot : known->second});
+        const auto speed = speeds_.find(id);
+        const auto known = speed == speeds_.end() ? std::nullopt : speed->second.service_time();
+        const double time = known ? static_cast<double>(known->count()) : average;
+        targets.push_back({{entry.id, entry.born, entry.address}, entry.slots * us_per_s / time});
     }
     return targets;
 }
@@ -224,7 +248,7 @@
     else
         moves = place_vacated(next, targets, loads_[service], vacated);
     if (moves.empty() && now >= next_balance_)
-        moves = level_load(next, targets, loads_[service], {});
+        moves = level(now, service, next, targets);
     bool settled = false;
     next.settle([&](const owned_range& range) {
         const auto* state = state_of(range);
@@ -245,6 +269,19 @@
     return next;
 }
 
+std::vector<balance_move> range_manager::level(time_point now, const std::string& service,
+                                               const assignment& current,
+                                               const std::vector<balance_target>& targets)
+{
+    balance_limits limits;
+    auto& next_dominant = next_dominant_[service];
+    limits.move_dominant = now >= next_dominant;
+    auto moves = level_load(current, targets, loads_[service], limits);
+    if (std::ranges::any_of(moves, [](const balance_move& move) { return move.keys.size() == 1; }))
+        next_dominant = now + timing_.dominant_pause;
+    return moves;
+}
+
 void range_manager::plan(time_point now, const ownership_view& view, std::vector<ownership_action>& out)
 {
     append_order order;
@@ -358,6 +395,24 @@
     }
 }
 
+std::vector<range_manager::target_share> range_manager::shares(const ownership_view& view,
+                                                               const std::string& service) const
+{
+    std::vector<target_share> found;
+    const auto load = loads_.find(service);
+    const auto* owners = view.log.find(service);
+    if (load == loads_.end() || owners == nullptr)
+        return found;
+    for (const auto& target : candidates(view, service)) {
+        target_share share{target.life.id, 0, target.capacity};
+        for (const auto& range : owners->ranges())
+            if (range.owner.id == share.target)
+                share.requests_per_s += load->second.rate(range.keys);
+        found.push_back(std::move(share));
+    }
+    return found;
+}
+
 std::uint32_t range_manager::unserved_keys(time_point now, std::string_view service) const
 {
     std::uint32_t unserved = 0;
