Let readers follow the coordinator's log and stand by without polling

Cause: each move cost two appends and six reads of the store; followers polled 80 times a second for their turn to read.

Change: readers take the ownership stream from the coordinator and read the store only when that is old; standby waits to be woken; a target counts as lost after a second of failing grants, as full targets reset connections.

--- a/include/teaseltally/net/peer_feed.hpp
+++ b/include/teaseltally/net/peer_feed.hpp
@@ -48,6 +48,11 @@
     [[nodiscard]] asio::awaitable<void> run();
     /// @returns whether this instance has to read the store itself.
     [[nodiscard]] bool reads_store() const noexcept { return reads_store_; }
+    /// Returns when this instance has to read the store.
+    [[nodiscard]] asio::awaitable<void> wait_until_reader();
+    /// Follows one stream of an instance.
+    /// @returns whether it answered.
+    [[nodiscard]] asio::awaitable<bool> follow_stream(std::string address, stream_kind kind);
     /// Answers another instance with what it lacks, as soon as there is something.
     [[nodiscard]] asio::awaitable<http_response> answer(http_request request);
     /// Wakes those who wait for news.
@@ -63,9 +68,10 @@
     [[nodiscard]] std::vector<feed_member> preferred() const;
     [[nodiscard]] std::vector<feed_member> fallbacks() const;
     [[nodiscard]] asio::awaitable<bool> follow_first(std::vector<feed_member> candidates);
-    [[nodiscard]] asio::awaitable<bool> follow_once(feed_member from);
+    [[nodiscard]] asio::awaitable<bool> follow_once(std::string address, std::optional<stream_kind> only);
+    void set_reads_store(bool reads);
     void note_failure(const std::string& instance, time_point now);
-    [[nodiscard]] std::string question() const;
+    [[nodiscard]] std::string question(std::optional<stream_kind> only) const;
 
     asio::any_io_executor executor_;
     http_client& client_;
@@ -75,6 +81,7 @@
     std::vector<feed_member> members_;
     std::map<std::string, backoff, std::less<>> backoffs_;
     std::list<notifier*> waiting_;
+    std::list<notifier*> standby_;
     bool reads_store_ = true;
 };
 
--- a/include/teaseltally/ownership/range_manager.hpp
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -26,6 +26,8 @@
     /// Silence of the coordinator after which another takes over.
     milliseconds takeover_after{2500};
     milliseconds order_retry{300};
+    /// Time for which grants must fail before a target is taken for lost.
+    milliseconds failing_after{1000};
     milliseconds balance_every{250};
     /// Time after a single key moved before another one may: about as long as a key stays hot.
     milliseconds dominant_pause{3000};
@@ -121,7 +123,8 @@
         double capacity = 0;
     };
     /// @returns the load of the targets of a service, for the log.
-    [[nodiscard]] std::vector<target_share> shares(const ownership_view& view, const std::string& service) const;
+    [[nodiscard]] std::vector<target_share> shares(time_point now, const ownership_view& view,
+ const std::string& service) const;
 
     /// @returns whether this instance coordinates.
     [[nodiscard]] bool coordinates() const noexcept { return coordinates_; }
@@ -159,7 +162,8 @@
         /// `hold_until` before the open order.
         time_point hold_before{};
         time_point next_grant{};
-        bool failing = false;
+        /// When the first of the grants failed that have failed since the last success.
+        std::optional<time_point> failing_since;
         bool owner_gone = false;
         /// The owner has seen a higher fence; the range needs a new one.
         bool outfenced = false;
@@ -186,13 +190,14 @@
                                                   const assignment& current,
                                                   const std::vector<balance_target>& targets);
     [[nodiscard]] double average_service_us(const ownership_view& view, const std::string& service) const;
-    [[nodiscard]] std::vector<balance_target> candidates(const ownership_view& view,
-                                                         const std::string& service) const;
+    [[nodiscard]] std::vector<balance_target> candidates(time_point now, const ownership_view& view,
+ const std::string& service) const;
     void send_orders(time_point now, std::vector<ownership_action>& out);
     void ordered_former(time_point now, managed_range& range, std::uint64_t id, order_end end,
                         const std::string& handover) const;
     void ordered_grant(time_point now, managed_range& range, order_end end) const;
     void release_former(time_point now, managed_range& range, std::vector<ownership_action>& out);
+    [[nodiscard]] bool is_failing(time_point now, const managed_range& range) const;
     [[nodiscard]] bool grant_in_flight(std::string_view target, key_range keys) const;
     [[nodiscard]] milliseconds longest_hold() const noexcept { return timing_.hold + timing_.hold / 50; }
 
--- a/src/net/peer_feed.cpp
+++ b/src/net/peer_feed.cpp
@@ -11,15 +11,18 @@
 constexpr milliseconds longest_wait{400};
 /// Time beyond the wait after which the other instance counts as gone.
 constexpr milliseconds answer_time{300};
-/// Age of an instance's knowledge above which it is not followed: two reads of the store.
-constexpr milliseconds stale_age{1100};
+/// Age of an instance's knowledge above which it is not followed: two reads of the targets, and two
+/// heartbeats of the coordinator.
+constexpr milliseconds stale_targets{1300};
+constexpr milliseconds stale_ownership{2200};
+/// Position of a stream that is not asked for.
+constexpr auto unwanted = "unwanted";
+constexpr milliseconds standby_check{1000};
 constexpr milliseconds first_backoff{500};
 constexpr milliseconds longest_backoff{8000};
 constexpr unsigned most_doublings = 4;
 /// Time between two attempts to follow somebody while this instance reads the store.
 constexpr milliseconds reader_pause{400};
-/// Streams whose age decides whether an instance is followed.
-constexpr std::array aged_streams{stream_kind::targets, stream_kind::ownership};
 
 std::size_t index_of(stream_kind kind)
 {
@@ -99,8 +102,8 @@
 
 bool peer_feed::knowledge_is_fresh(time_point now) const
 {
-    return std::ranges::all_of(
-        aged_streams, [&](stream_kind kind) { return now - known_[index_of(kind)].read_sent() < stale_age; });
+    return now - known_[index_of(stream_kind::targets)].read_sent() < stale_targets &&
+           now - known_[index_of(stream_kind::ownership)].read_sent() < stale_ownership;
 }
 
 std::vector<feed_member> peer_feed::preferred() const
@@ -141,22 +144,27 @@
     ++held.failures;
 }
 
-std::string peer_feed::question() const
+std::string peer_feed::question(std::optional<stream_kind> only) const
 {
     Json::Value positions(Json::arrayValue);
-    for (const auto& stream : known_)
-        positions.append(stream.known() ? to_json(stream.next()) : Json::Value{});
+    for (std::size_t kind = 0; kind < stream_kinds; ++kind) {
+        const auto& stream = known_[kind];
+        if (only && index_of(*only) != kind)
+            positions.append(unwanted);
+        else
+            positions.append(stream.known() ? to_json(stream.next()) : Json::Value{});
+    }
     return json_text(positions);
 }
 
-asio::awaitable<bool> peer_feed::follow_once(feed_member from)
+asio::awaitable<bool> peer_feed::follow_once(std::string address, std::optional<stream_kind> only)
 {
-    const auto address = parse_endpoint(from.address);
-    if (failure(address) != nullptr)
+    const auto to = parse_endpoint(address);
+    if (failure(to) != nullptr)
         co_return false;
-    auto request = make_request(boost::beast::http::verb::post, "/feed", question());
+    auto request = make_request(boost::beast::http::verb::post, "/feed", question(only));
     const auto deadline = boot_clock::now() + longest_wait + answer_time;
-    auto outcome = co_await client_.exchange(std::get<tcp_endpoint>(address), std::move(request), deadline);
+    auto outcome = co_await client_.exchange(std::get<tcp_endpoint>(to), std::move(request), deadline);
     const auto* response = std::get_if<http_response>(&outcome);
     if (response == nullptr || response->result_int() != 200)
         co_return false;
@@ -165,18 +173,26 @@
     if (answer == nullptr || !answer->isArray() || answer->size() != stream_kinds)
         co_return false;
     for (std::size_t kind = 0; kind < stream_kinds; ++kind) {
+        if (only && index_of(*only) != kind)
+            continue;
         const auto delta = decode_delta((*answer)[static_cast<Json::ArrayIndex>(kind)]);
         if (!delta)
             co_return false;
         sink_(static_cast<stream_kind>(kind), *delta);
     }
-    co_return knowledge_is_fresh(boot_clock::now());
+    co_return true;
+}
+
+asio::awaitable<bool> peer_feed::follow_stream(std::string address, stream_kind kind)
+{
+    co_return co_await follow_once(std::move(address), kind);
 }
 
 asio::awaitable<bool> peer_feed::follow_first(std::vector<feed_member> candidates)
 {
     for (const auto& member : candidates) {
-        if (co_await follow_once(member)) {
+        const bool answered = co_await follow_once(member.address, std::nullopt);
+        if (answered && knowledge_is_fresh(boot_clock::now())) {
             backoffs_.erase(member.instance);
             co_return true;
         }
@@ -190,16 +206,33 @@
     while (true) {
         const bool followed = co_await follow_first(preferred());
         if (followed) {
-            reads_store_ = false;
+            set_reads_store(false);
             continue;
         }
-        reads_store_ = true;
+        set_reads_store(true);
         co_await sleep_for(reader_pause);
         if (!knowledge_is_fresh(boot_clock::now()))
             co_await follow_first(fallbacks());
     }
 }
 
+void peer_feed::set_reads_store(bool reads)
+{
+    reads_store_ = reads;
+    if (reads)
+        for (auto* waiter : standby_)
+            waiter->notify();
+}
+
+asio::awaitable<void> peer_feed::wait_until_reader()
+{
+    notifier wake(executor_);
+    const auto place = standby_.insert(standby_.end(), &wake);
+    while (!reads_store_)
+        static_cast<void>(co_await wake.wait_until(boot_clock::now() + standby_check));
+    standby_.erase(place);
+}
+
 void peer_feed::changed()
 {
     for (auto* waiter : waiting_)
@@ -213,11 +246,15 @@
     if (positions == nullptr || !positions->isArray() || positions->size() != stream_kinds)
         co_return make_response(400, "positions of streams are missing\n");
     std::array<std::optional<std::uint64_t>, stream_kinds> from;
-    for (std::size_t kind = 0; kind < stream_kinds; ++kind)
-        from[kind] = position_from((*positions)[static_cast<Json::ArrayIndex>(kind)]);
+    std::array<bool, stream_kinds> wanted{};
+    for (std::size_t kind = 0; kind < stream_kinds; ++kind) {
+        const auto& position = (*positions)[static_cast<Json::ArrayIndex>(kind)];
+        from[kind] = position_from(position);
+        wanted[kind] = !position.isString();
+    }
     const auto has_news = [&] {
         for (std::size_t kind = 0; kind < stream_kinds; ++kind)
-            if (known_[kind].has_news(from[kind]))
+            if (wanted[kind] && known_[kind].has_news(from[kind]))
                 return true;
         return false;
     };
@@ -229,7 +266,7 @@
     waiting_.erase(place);
     Json::Value answer(Json::arrayValue);
     for (std::size_t kind = 0; kind < stream_kinds; ++kind)
-        answer.append(encode_delta(known_[kind].since(from[kind], boot_clock::now())));
+        answer.append(wanted[kind] ? encode_delta(known_[kind].since(from[kind], boot_clock::now())) : Json::Value{});
     co_return make_response(200, json_text(answer), "application/json");
 }
 
--- a/src/net/timer_service.cpp
+++ b/src/net/timer_service.cpp
@@ -3,7 +3,7 @@
 namespace teaseltally {
 namespace {
 
-constexpr milliseconds resolution{20};
+constexpr milliseconds resolution{50};
 
 } // namespace
 
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -196,8 +196,8 @@
     return known > 0 ? sum / known : default_service_us;
 }
 
-std::vector<balance_target> range_manager::candidates(const ownership_view& view,
-                                                      const std::string& service) const
+std::vector<balance_target> range_manager::candidates(time_point now, const ownership_view& view,
+ const std::string& service) const
 {
     const auto average = average_service_us(view, service);
     std::vector<balance_target> targets;
@@ -207,7 +207,7 @@
         const auto& ranges = ranges_.find(service);
         const bool failing =
             ranges != ranges_.end() && std::ranges::any_of(ranges->second, [&](const managed_range& range) {
-                return range.owner.id == id && (range.owner_gone || range.failing);
+                return range.owner.id == id && (range.owner_gone || is_failing(now, range));
             });
         if (failing)
             continue;
@@ -222,7 +222,7 @@
 std::optional<assignment> range_manager::plan_service(time_point now, const ownership_view& view,
                                                       const std::string& service, std::uint64_t fence)
 {
-    const auto targets = candidates(view, service);
+    const auto targets = candidates(now, view, service);
     if (targets.empty())
         return std::nullopt;
     const auto* committed = view.log.find(service);
@@ -236,7 +236,7 @@
     const auto vacated = [&](const owned_range& range) {
         const auto* entry = view.directory.find(range.owner.id);
         const auto* state = state_of(range);
-        if (state != nullptr && (state->owner_gone || (state->failing && state->hold_until < now)))
+        if (state != nullptr && (state->owner_gone || (is_failing(now, *state) && state->hold_until < now)))
             return true;
         if (entry == nullptr)
             return view.directory_sound;
@@ -302,6 +302,11 @@
     out.push_back(std::move(order));
 }
 
+bool range_manager::is_failing(time_point now, const managed_range& range) const
+{
+    return range.failing_since && now - *range.failing_since >= timing_.failing_after;
+}
+
 bool range_manager::grant_in_flight(std::string_view target, key_range keys) const
 {
     return std::ranges::any_of(open_grants_, [&](const auto& open) {
@@ -371,7 +376,10 @@
 void range_manager::ordered_grant(time_point now, managed_range& range, order_end end) const
 {
     range.open_order = 0;
-    range.failing = end != order_end::done;
+    if (end == order_end::done)
+        range.failing_since.reset();
+    else if (!range.failing_since)
+        range.failing_since = now;
     range.next_grant = now + (end == order_end::done ? timing_.renew_every : timing_.order_retry);
     switch (end) {
     case order_end::done:
@@ -395,15 +403,14 @@
     }
 }
 
-std::vector<range_manager::target_share> range_manager::shares(const ownership_view& view,
-                                                               const std::string& service) const
+std::vector<range_manager::target_share> range_manager::shares(time_point now, const ownership_view& view, const std::string& service) const
 {
     std::vector<target_share> found;
     const auto load = loads_.find(service);
     const auto* owners = view.log.find(service);
     if (load == loads_.end() || owners == nullptr)
         return found;
-    for (const auto& target : candidates(view, service)) {
+    for (const auto& target : candidates(now, view, service)) {
         target_share share{target.life.id, 0, target.capacity};
         for (const auto& range : owners->ranges())
             if (range.owner.id == share.target)
