Take cancelled waiters out of the feed's list

A follower whose connection was reset cancelled the coroutine that answered it, and its notifier stayed in the list of waiting ones.

Ruled out: the callers' departure watch and cancelled attempts, whose sockets live as long as their coroutines.

Change: a guard removes the notifier, and one removes a waiting request.

--- a/include/teaseltally/net/notifier.hpp
+++ b/include/teaseltally/net/notifier.hpp
@@ -8,6 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <list>
+
 /// @file
 /// Wakes one waiting coroutine.
 
@@ -44,4 +47,23 @@
     bool signalled_ = false;
 };
 
+/// Lists a notifier among those that wait, for as long as it exists, also if its coroutine is cancelled.
+class notifier_listing {
+public:
+    /// @param list list of waiting notifiers; it outlives the listing.
+    notifier_listing(std::list<notifier*>& list, notifier& waiting)
+        : list_(list), place_(list.insert(list.end(), &waiting))
+    {
+    }
+    ~notifier_listing() { list_.erase(place_); }
+    notifier_listing(const notifier_listing&) = delete;
+    notifier_listing& operator=(const notifier_listing&) = delete;
+    notifier_listing(notifier_listing&&) = delete;
+    notifier_listing& operator=(notifier_listing&&) = delete;
+
+private:
+    std::list<notifier*>& list_;
+    std::list<notifier*>::iterator place_;
+};
+
 } // namespace teaseltally
--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -140,6 +140,8 @@
         std::vector<std::shared_ptr<target_node>> targets;
     };
 
+    class waiting_guard;
+
     [[nodiscard]] service_state& state_of(const std::string& service);
     [[nodiscard]] std::optional<http_response> prepare(routed_request& request);
     [[nodiscard]] std::string choose_part(const routed_request& request);
--- a/src/net/peer_feed.cpp
+++ b/src/net/peer_feed.cpp
@@ -227,10 +227,9 @@
 asio::awaitable<void> peer_feed::wait_until_reader()
 {
     notifier wake(executor_);
-    const auto place = standby_.insert(standby_.end(), &wake);
+    const notifier_listing listing(standby_, wake);
     while (!reads_store_)
         static_cast<void>(co_await wake.wait_until(boot_clock::now() + standby_check));
-    standby_.erase(place);
 }
 
 void peer_feed::changed()
@@ -260,10 +259,9 @@
     };
     const auto until = boot_clock::now() + longest_wait;
     notifier wake(executor_);
-    const auto place = waiting_.insert(waiting_.end(), &wake);
+    const notifier_listing listing(waiting_, wake);
     while (!has_news() && boot_clock::now() < until)
         static_cast<void>(co_await wake.wait_until(until));
-    waiting_.erase(place);
     Json::Value answer(Json::arrayValue);
     for (std::size_t kind = 0; kind < stream_kinds; ++kind)
         answer.append(wanted[kind] ? encode_delta(known_[kind].since(from[kind], boot_clock::now())) : Json::Value{});
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -426,6 +426,21 @@
     wake_waiting(state);
 }
 
+/// Takes a request out of the waiting ones however its coroutine ends.
+class request_router::waiting_guard {
+public:
+    waiting_guard(routed_request& request, service_state& state) : request_(request), state_(state) {}
+    ~waiting_guard() { dequeue(request_, state_); }
+    waiting_guard(const waiting_guard&) = delete;
+    waiting_guard& operator=(const waiting_guard&) = delete;
+    waiting_guard(waiting_guard&&) = delete;
+    waiting_guard& operator=(waiting_guard&&) = delete;
+
+private:
+    routed_request& request_;
+    service_state& state_;
+};
+
 void request_router::wake_waiting(service_state& state)
 {
     constexpr int woken_at_once = 2;
@@ -595,8 +610,8 @@
 {
     if (auto refused = prepare(*request))
         co_return refused;
+    const waiting_guard guard(*request, state_of(request->service));
     auto answer = co_await drive(request);
-    dequeue(*request, state_of(request->service));
     if (answer || request->rule->repeat == repeatability::idempotent)
         request->cancel_attempts();
     const unsigned status = answer ? answer->result_int() : 0;
