Drop the bytes of orders that were given up

The order had been given up, but a plain close left its bytes to be delivered when the path was whole again.

Ruled out: the coordinator's own fences: its log shows 136 and above only.

Change: outgoing connections are closed with a reset.

--- a/include/teaseltally/net/http.hpp
+++ b/include/teaseltally/net/http.hpp
@@ -44,6 +44,10 @@
 /// @returns the endpoint, or `configuration_bad_value`.
 [[nodiscard]] result<tcp_endpoint> parse_endpoint(std::string_view text);
 
+/// Sets a connected socket up for requests: bytes leave at once, and a close drops what has not arrived, so
+/// that a request that was given up does not arrive after a partition has healed.
+void prepare_outgoing(asio::ip::tcp::socket& socket);
+
 /// Limits of a client.
 struct http_client_limits {
     std::size_t connections_per_endpoint = 256;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -60,6 +60,13 @@
                  ""};
 }
 
+void prepare_outgoing(asio::ip::tcp::socket& socket)
+{
+    error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 http_client::http_client(asio::any_io_executor executor, http_client_limits limits)
     : executor_(std::move(executor)), limits_(limits)
 {
@@ -131,7 +138,7 @@
     if (!held.connected()) {
         if (const auto [failed] = co_await stream->async_connect(to, as_result); failed)
             co_return make_failure(false, failed);
-        stream->socket().set_option(asio::ip::tcp::no_delay(true));
+        prepare_outgoing(stream->socket());
     }
     request.prepare_payload();
     if (permit && !permit())
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -186,7 +186,7 @@
             node->discard(std::move(connection));
             co_return result;
         }
-        stream.socket().set_option(asio::ip::tcp::no_delay(true));
+        prepare_outgoing(stream.socket());
     }
     result.connected = true;
     stream.expires_after(time_left(deadline));
