Move what one range has when no window is large enough

Ruled out: appends that wait: the log accepted each heartbeat.

Change: the wanted load is halved until a range has it.

--- a/src/ownership/balancer.cpp
+++ b/src/ownership/balancer.cpp
@@ -13,6 +13,8 @@
 /// The first spread makes about this many ranges, so that neighbouring keys have different owners.
 constexpr std::size_t spread_ranges = 96;
 constexpr std::size_t most_rounds = 6;
+/// How often the wanted load is halved when no range has as much.
+constexpr int most_halvings = 4;
 /// A key dominates its owner above this share of the owner's capacity.
 constexpr double dominant_share = 0.4;
 /// A dominant key moves to a target that is faster by this factor.
@@ -130,6 +132,16 @@
     return best;
 }
 
+/// Finds a window for as much of the wanted load as one range has.
+std::optional<window> best_window(const assignment& current, std::string_view owner, double wanted,
+                                  const key_load& load)
+{
+    for (int halvings = 0; halvings <= most_halvings && wanted > 0; ++halvings, wanted /= 2)
+        if (const auto found = narrowest_window(current, owner, wanted, load))
+            return found;
+    return std::nullopt;
+}
+
 } // namespace
 
 void key_load::decay(microseconds elapsed)
@@ -238,7 +250,7 @@
         }
         else {
             const double rest = dominant ? (table.rate(busy) - hot->rate) / 2 : wanted;
-            found = narrowest_window(planned, targets[busy].life.id, std::min(wanted, rest), load);
+            found = best_window(planned, targets[busy].life.id, std::min(wanted, rest), load);
         }
         if (!found || found->rate <= 0) {
             settled[busy] = true;
