Test the new parts and reset discarded connections

Cause: a test of an answer that ends with its connection showed that Asio takes the linger option back when a socket is destroyed, so that discarded connections were closed plainly and an order given up could still arrive; a request in doubt could reach one target more than its route allows.

Change: discarded connections are closed explicitly; sends that may have run count against the route's attempts.

--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -65,6 +65,8 @@
     time_point final_at{};
     std::vector<std::shared_ptr<routed_attempt>> attempts;
     unsigned sends = 0;
+    /// Sends after which a target may have executed the request without an answer.
+    unsigned in_doubt = 0;
     /// Whether the retry budget has counted the request.
     bool counted = false;
     /// Whether a target may have begun to execute the request.
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -103,10 +103,14 @@
         if (!stream_ || !*alive_)
             return;
         auto& pool = client_.pools_[to_];
-        if (keep_)
+        if (keep_) {
             pool.idle.push_back(std::move(stream_));
-        else
-            --pool.open;
+            return;
+        }
+        // Only an explicit close resets; the destructor of a socket takes the linger option back.
+        error_code ignored;
+        stream_->socket().close(ignored);
+        --pool.open;
     }
 
     lease(const lease&) = delete;
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -486,6 +486,7 @@
         return std::nullopt;
     case exchange_end::in_doubt:
         request.may_have_run = true;
+        ++request.in_doubt;
         request.cause = "in doubt: " + result.reason;
         if (request.rule->repeat == repeatability::at_most_once)
             return give_up(request, request.cause, {});
@@ -581,7 +582,8 @@
             co_return give_up(*request, "time is over", shortest_come_back);
         }
         if (wants_attempt(*request, now, hedge_at)) {
-            if (request->sends >= request->rule->max_attempts + extra_refused_sends)
+            if (request->in_doubt >= request->rule->max_attempts ||
+                request->sends >= request->rule->max_attempts + extra_refused_sends)
                 co_return give_up(*request, request->cause,
                                   std::chrono::duration_cast<milliseconds>(state.service_time));
             if (try_attempt(request, state)) {
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -158,7 +158,9 @@
 
 void target_node::discard(std::unique_ptr<target_connection> connection)
 {
-    connection.reset();
+    // Only an explicit close resets; the destructor of a socket takes the linger option back.
+    error_code ignored;
+    connection->stream.socket().close(ignored);
     --open_;
 }
 
--- /dev/null
+++ b/tests/knowledge_tests.cpp
@@ -0,0 +1,153 @@
+#include <teaseltally/admission/retry_budget.hpp>
+#include <teaseltally/admission/target_load.hpp>
+#include <teaseltally/knowledge/record_stream.hpp>
+#include <teaseltally/knowledge/target_directory.hpp>
+#include <teaseltally/routing/route_table.hpp>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace teaseltally;
+
+namespace {
+
+const time_point start{std::chrono::hours{1}};
+
+route_table make_table()
+{
+    routing_configuration configured;
+    configured.version = 4;
+    for (const char* prefix : {"/", "/a/", "/a/b/"}) {
+        route added;
+        added.name = prefix;
+        added.host = "One.example";
+        added.prefix = prefix;
+        configured.routes.push_back(added);
+    }
+    return route_table(std::move(configured));
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host's routes is selected")
+{
+    const auto table = make_table();
+    REQUIRE(table.find("one.example:80", "/a/b/c") != nullptr);
+    CHECK(table.find("one.example:80", "/a/b/c")->prefix == "/a/b/");
+    CHECK(table.find("ONE.EXAMPLE", "/a/bc")->prefix == "/a/");
+    CHECK(table.find("one.example", "/z")->prefix == "/");
+    CHECK(table.find("two.example", "/a/") == nullptr);
+    CHECK(table.find("one.example", "") == nullptr);
+}
+
+TEST_CASE("a retry budget never grants more than its capacity and ratio in any span")
+{
+    CHECK(rc::check([](const std::vector<bool>& steps) {
+        retry_budget budget(0.2, 5);
+        double requests = 0;
+        double granted = 0;
+        for (const bool request : steps) {
+            if (request) {
+                budget.earn();
+                ++requests;
+            }
+            else if (budget.spend())
+                ++granted;
+            RC_ASSERT(granted <= 5 + requests * 0.2 + 1e-9);
+        }
+    }));
+}
+
+TEST_CASE("load reports are read strictly")
+{
+    CHECK(parse_load_report("3,0,8") == load_report{3, 0, 8});
+    for (const char* bad : {"", "3", "3,0", "3,0,", "3,0,8,", "-1,0,8", "3,0,0", "a,b,c", "3, 0,8"})
+        CHECK(!parse_load_report(bad));
+}
+
+TEST_CASE("a target without progress is not chosen until it answers")
+{
+    target_load load(4, microseconds{100'000});
+    load.started(start);
+    CHECK(load.usable(start + milliseconds{300}));
+    CHECK(load.stalled(start + milliseconds{700}));
+    load.answered(start + milliseconds{800}, milliseconds{800}, 1);
+    load.ended();
+    CHECK(load.usable(start + milliseconds{801}));
+}
+
+TEST_CASE("what a target reports of others loses its meaning with age")
+{
+    target_load load(4, microseconds{100'000});
+    load.reported(start, {4, 6, 4});
+    CHECK(load.occupancy(start) == doctest::Approx(10));
+    CHECK(load.occupancy(start + milliseconds{2000}) < 1);
+    CHECK(load.expected_answer(start) > load.expected_answer(start + milliseconds{2000}));
+}
+
+TEST_CASE("registrations do not go back")
+{
+    target_directory directory;
+    const target_entry ready{"i1", "s", "10.0.0.1:80", "a", 4, false, {}, 0, 7};
+    auto leaving = ready;
+    leaving.draining = true;
+    leaving.sequence = 9;
+    CHECK(directory.update(ready, 10) == directory_change::added);
+    CHECK(directory.update(leaving, 12) == directory_change::updated);
+    CHECK(directory.update(ready, 11) == directory_change::none);
+    CHECK(directory.update(ready, 13) == directory_change::none);
+    CHECK(directory.find("i1")->draining);
+    auto reborn = ready;
+    reborn.born = 1000;
+    reborn.sequence = 1;
+    CHECK(directory.update(reborn, 14) == directory_change::updated);
+    CHECK(!directory.find("i1")->draining);
+    CHECK(directory.remove("i1", 13) == directory_change::none);
+    CHECK(directory.remove("i1", 15) == directory_change::removed);
+}
+
+TEST_CASE("an instance that follows a stream ends with the same records")
+{
+    CHECK(rc::check([](const std::vector<std::pair<std::uint8_t, bool>>& writes, std::uint8_t every) {
+        record_stream reader;
+        record_stream follower;
+        std::map<std::string, std::optional<std::string>> truth;
+        std::map<std::string, std::optional<std::string>> copied;
+        reader.take_snapshot({}, 0);
+        std::uint64_t offset = 0;
+        const auto follow = [&] {
+            const auto delta =
+                reader.since(follower.known() ? std::optional{follower.next()} : std::nullopt, start);
+            if (delta.snapshot && follower.take_snapshot(delta.records, delta.next))
+                copied.clear();
+            for (const auto& record : delta.records)
+                if (delta.snapshot || follower.take(record, true))
+                    copied[record.key] = record.value;
+            follower.caught_up(start, delta.next);
+        };
+        for (const auto& [key, dropped] : writes) {
+            stream_record record{std::to_string(key % 5), std::nullopt, offset++};
+            if (!dropped)
+                record.value = std::to_string(offset);
+            reader.take(record, true);
+            truth[record.key] = record.value;
+            if (offset % (every % 7 + 1) == 0)
+                follow();
+        }
+        follow();
+        std::erase_if(truth, [](const auto& item) { return !item.second; });
+        std::erase_if(copied, [](const auto& item) { return !item.second; });
+        RC_ASSERT(truth == copied);
+        RC_ASSERT(follower.next() == offset);
+    }));
+}
+
+TEST_CASE("a position of a stream is never lowered")
+{
+    record_stream stream;
+    CHECK(stream.take_snapshot({{"a", "1", 4}}, 9));
+    CHECK(!stream.take_snapshot({}, 8));
+    CHECK(!stream.take({"a", "0", 8}, true));
+    stream.caught_up(start, 7);
+    CHECK(stream.next() == 9);
+}
--- /dev/null
+++ b/tests/platform_tests.cpp
@@ -0,0 +1,173 @@
+#include "../platform/settings.hpp"
+#include "../platform/store_client.hpp"
+#include "../platform/wire.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace teaseltally;
+using namespace teaseltally::platform;
+
+namespace {
+
+const std::string good_settings = R"([instance]
+name = front-a-1
+data_centre = a
+caller_address = 10.0.0.1:80
+ready_address = 10.0.0.1:81
+peer_address = 10.0.0.1:82
+[platform]
+address = 10.0.0.9:1
+heartbeat = 870ms
+bounds = drain=1500ms,grace=6s,retry-budget-ratio=0.25,budget-slack=56,unknown=1
+)";
+
+const std::string good_configuration = R"({"version":"0000000c",
+"routes":{"columns":["name","host","path-prefix","kind","timeout","target-latency","priority","backends","max-attempts","service"],
+"rows":[["r1","h.example","/a/","safe","1000ms","0.3s",2,[{"service":"x","weight":90},{"service":"y","weight":10}],2,null],
+["r2","h.example","/b/","unsafe","1200ms","400ms",1,null,2,"x"]]},
+"services":{"columns":["name","health-path","max-connections","protocol","tls","sharded","warm","grants"],
+"rows":[["x","/health",110,"h1",false,null,null,null],["y","/health",110,"h1",false,true,"5s","direct_call"]]},
+"limits":{"max-header-bytes":16384,"max-body-bytes":1000,"header-timeout":"3000ms","idle-timeout":"15s"}})";
+
+const std::string good_target =
+    R"({"address":"10.0.0.1:80","born":17,"info":{"service":"x","version":"v1","zone":"a","slots":4},
+"status":{"state":"ready","sequence":4,"cold-remaining":"1500ms"}})";
+
+/// Changes one part of a text.
+std::string changed(std::string text, const std::string& from, const std::string& to)
+{
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("settings are read with their bounds")
+{
+    const auto read = parse_settings(good_settings, "local");
+    REQUIRE(std::holds_alternative<settings>(read));
+    const auto& values = std::get<settings>(read);
+    CHECK(values.drain == milliseconds{1500});
+    CHECK(values.stop_grace == milliseconds{6000});
+    CHECK(values.retry_ratio == doctest::Approx(0.25));
+    CHECK(values.heartbeat == milliseconds{870});
+}
+
+TEST_CASE("bad settings name the file, section, key and value")
+{
+    const auto missing = parse_settings(changed(good_settings, "name = front-a-1", "x = 1"), "local");
+    REQUIRE(std::holds_alternative<std::vector<error>>(missing));
+    CHECK(
+        to_string(std::get<std::vector<error>>(missing).front()).find("local: [instance] name is missing") ==
+        0);
+    const auto bad = parse_settings(changed(good_settings, "870ms", "soon"), "local");
+    REQUIRE(std::holds_alternative<std::vector<error>>(bad));
+    CHECK(std::get<std::vector<error>>(bad).front().message ==
+          "[platform] heartbeat = \"soon\" is not a time");
+}
+
+TEST_CASE("a configuration is decoded once into its types")
+{
+    const auto decoded = decode_configuration(good_configuration);
+    REQUIRE(failure(decoded) == nullptr);
+    const auto& read = std::get<routing_configuration>(decoded);
+    CHECK(read.version == 12);
+    REQUIRE(read.routes.size() == 2);
+    CHECK(read.routes[0].repeat == repeatability::idempotent);
+    CHECK(read.routes[0].parts.size() == 2);
+    CHECK(read.routes[1].repeat == repeatability::at_most_once);
+    CHECK(read.services.at("y").keyed);
+    CHECK(read.limits.idle_timeout == milliseconds{15'000});
+}
+
+TEST_CASE("a configuration that is wrong says where")
+{
+    struct wrong {
+        const char* from;
+        const char* to;
+        const char* says;
+    };
+    for (const auto& [from, to, says] :
+         std::initializer_list<wrong>{{"\"0000000c\"", "\"zz\"", "version"},
+                                      {"\"/a/\"", "\"/a\"", "path-prefix"},
+                                      {"\"1000ms\"", "1000", "timeout"},
+                                      {"\"weight\":90", "\"weight\":-1", "backends"},
+                                      {"\"service\":\"y\"", "\"service\":\"z\"", "unknown service"},
+                                      {"\"rows\":[[\"r1\"", "\"rows\":[1,[\"r1\"", "not a list"},
+                                      {"16384", "\"many\"", "max-header-bytes"}}) {
+        CAPTURE(from);
+        const auto decoded = decode_configuration(changed(good_configuration, from, to));
+        REQUIRE(failure(decoded) != nullptr);
+        CHECK(to_string(*failure(decoded)).find(says) != std::string::npos);
+    }
+}
+
+TEST_CASE("a registration that is malformed names no target")
+{
+    REQUIRE(failure(decode_target("i1", good_target)) == nullptr);
+    const auto entry = std::get<target_entry>(decode_target("i1", good_target));
+    CHECK(entry.cold_remaining == milliseconds{1500});
+    CHECK(entry.born == 17);
+    struct wrong {
+        const char* from;
+        const char* to;
+    };
+    for (const auto& [from, to] : std::initializer_list<wrong>{{"10.0.0.1:80", "somewhere"},
+                                                               {"\"ready\"", "\"asleep\""},
+                                                               {"\"slots\":4", "\"slots\":\"4\""},
+                                                               {"\"sequence\":4", "\"sequence\":null"},
+                                                               {"\"info\":{", "\"infos\":{"},
+                                                               {"\"born\":17", "\"born\":\"now\""},
+                                                               {"1500ms", "later"}}) {
+        CAPTURE(from);
+        const auto decoded = decode_target("i1", changed(good_target, from, to));
+        REQUIRE(failure(decoded) != nullptr);
+        CHECK(to_string(*failure(decoded)).find("target \"i1\"") != std::string::npos);
+    }
+}
+
+TEST_CASE("any change of a byte is decoded or refused with a message")
+{
+    CHECK(rc::check([](std::size_t at, char byte) {
+        for (const auto* good : {&good_configuration, &good_target}) {
+            auto text = *good;
+            text[at % text.size()] = byte;
+            const auto configuration = decode_configuration(text);
+            if (const auto* problem = failure(configuration))
+                RC_ASSERT(!problem->message.empty());
+            const auto target = decode_target("i1", text);
+            if (const auto* problem = failure(target))
+                RC_ASSERT(!problem->message.empty());
+        }
+    }));
+}
+
+TEST_CASE("records of a page are split by their lengths")
+{
+    std::string body(7, '\0');
+    body += '\x09';
+    body += std::string(8, '\0');
+    body += encode_keyed_record("a", "one") + encode_keyed_record("bc", "");
+    const auto parsed = parse_log_page(body, 7);
+    REQUIRE(std::holds_alternative<keyed_page>(parsed));
+    const auto& page = std::get<keyed_page>(parsed);
+    CHECK(page.end == 9);
+    CHECK(page.next == 9);
+    REQUIRE(page.records.size() == 2);
+    CHECK(page.records[0] == stream_record{"a", "one", 7});
+    CHECK(page.records[1] == stream_record{"bc", std::nullopt, 8});
+    for (std::size_t cut = 1; cut < body.size(); ++cut) {
+        const auto shorter = parse_log_page(std::string_view{body}.substr(0, cut), 7);
+        const auto* whole = std::get_if<keyed_page>(&shorter);
+        CHECK((whole == nullptr || whole->records.size() < 2));
+    }
+}
+
+TEST_CASE("base64 is decoded or refused")
+{
+    CHECK(decode_base64("aGVsbG8=") == "hello");
+    CHECK(decode_base64("") == "");
+    CHECK(!decode_base64("aGVs*G8="));
+}
