Name each target once in an assignment; weigh crossings by half the aim

Change: a record has a table of targets that ranges refer to; going to another data centre counts as half of the route's target latency, not 0.3.

--- a/include/teaseltally/ownership/balancer.hpp
+++ b/include/teaseltally/ownership/balancer.hpp
@@ -17,7 +17,7 @@
     key_load() : rates_(std::size_t{last_key} + 1) {}
 
     /// Adds requests that were seen since the last call of `decay`.
-    void add(key_number key, double requests) { rates_[key] += requests; }
+    void add(key_number key, double requests) { rates_[key] += static_cast<float>(requests); }
     /// Ages what was seen.
     /// @param elapsed time since the last call.
     void decay(microseconds elapsed);
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -39,6 +39,15 @@
     return 400;
 }
 
+/// @returns whether the caller broke the protocol or a limit, as opposed to having left.
+bool is_callers_fault(const error_code& failed)
+{
+    if (failed == http::error::end_of_stream || failed == http::error::partial_message)
+        return false;
+    return failed == beast::error::timeout ||
+           failed.category() == http::make_error_code(http::error::bad_value).category();
+}
+
 /// Watches a caller's connection while its request is on its way.
 class departure_watch {
 public:
@@ -207,10 +216,7 @@
     parser.header_limit(static_cast<std::uint32_t>(bounds.header_bytes));
     parser.body_limit(bounds.body_bytes);
     if (const auto failed = co_await read_request(*caller, parser)) {
-        if (failed.category() == http::make_error_code(http::error::bad_value).category() &&
-            failed != http::error::end_of_stream && failed != http::error::partial_message)
-            co_await refuse(*caller, failed);
-        else if (failed == beast::error::timeout)
+        if (is_callers_fault(failed))
             co_await refuse(*caller, failed);
         co_return false;
     }
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -17,7 +17,7 @@
 /// Requests that may be at a target for each of its slots before further ones wait here.
 constexpr double room_per_slot = 2.0;
 /// Share of a route's target latency that the way to another data centre counts.
-constexpr double crossing_share = 0.3;
+constexpr double crossing_share = 0.5;
 /// Share of a service's connection cap that the instances use together.
 constexpr double cap_share = 0.8;
 /// Share of the retry budget that is used; the rest covers requests counted late.
--- a/src/ownership/assignment.cpp
+++ b/src/ownership/assignment.cpp
@@ -7,7 +7,7 @@
 namespace teaseltally {
 namespace {
 
-constexpr Json::ArrayIndex range_fields = 5;
+constexpr Json::ArrayIndex least_range_fields = 4;
 
 Json::Value to_json(const target_life& life)
 {
@@ -25,29 +25,68 @@
     return target_life{row[0].asString(), row[1].asInt64(), row[2].asString()};
 }
 
-std::optional<owned_range> range_from(const Json::Value& row)
+using life_table = std::vector<target_life>;
+
+std::optional<life_table> lives_from(const Json::Value& rows)
 {
-    if (!row.isArray() || row.size() != range_fields || !row[0].isUInt() || !row[1].isUInt() ||
-        !row[2].isUInt64() || !row[4].isArray())
+    life_table lives;
+    if (!rows.isArray())
         return std::nullopt;
-    if (row[0].asUInt() > row[1].asUInt() || row[1].asUInt() > last_key)
+    for (const auto& row : rows) {
+        auto life = life_from(row);
+        if (!life)
+            return std::nullopt;
+        lives.push_back(std::move(*life));
+    }
+    return lives;
+}
+
+/// Reads a row of first key, last key, fence, owner and former owners, the latter as places in a table.
+std::optional<owned_range> range_from(const Json::Value& row, const life_table& lives)
+{
+    if (!row.isArray() || row.size() < least_range_fields || !row[0].isUInt() || !row[1].isUInt() ||
+        !row[2].isUInt64())
         return std::nullopt;
-    auto owner = life_from(row[3]);
-    if (!owner)
+    if (row[0].asUInt() > row[1].asUInt() || row[1].asUInt() > last_key)
         return std::nullopt;
-    owned_range range{{static_cast<key_number>(row[0].asUInt()), static_cast<key_number>(row[1].asUInt())},
-                      std::move(*owner),
-                      row[2].asUInt64(),
-                      {}};
-    for (const auto& item : row[4]) {
-        auto former = life_from(item);
-        if (!former)
+    owned_range range;
+    range.keys = {static_cast<key_number>(row[0].asUInt()), static_cast<key_number>(row[1].asUInt())};
+    range.fence = row[2].asUInt64();
+    for (Json::ArrayIndex index = 3; index < row.size(); ++index) {
+        if (!row[index].isUInt() || row[index].asUInt() >= lives.size())
             return std::nullopt;
-        range.former.push_back(std::move(*former));
+        const auto& life = lives[row[index].asUInt()];
+        if (index == 3)
+            range.owner = life;
+        else
+            range.former.push_back(life);
     }
     return range;
 }
 
+/// Places of the lives of an assignment in its table.
+class life_index {
+public:
+    Json::Value place(const target_life& life)
+    {
+        const auto found = std::ranges::find(lives_, life);
+        const auto index = static_cast<Json::UInt64>(found - lives_.begin());
+        if (found == lives_.end())
+            lives_.push_back(life);
+        return Json::Value{index};
+    }
+    [[nodiscard]] Json::Value rows() const
+    {
+        Json::Value rows(Json::arrayValue);
+        for (const auto& life : lives_)
+            rows.append(to_json(life));
+        return rows;
+    }
+
+private:
+    life_table lives_;
+};
+
 error malformed(std::string message)
 {
     return {result_code::message_malformed, std::move(message), "ownership log"};
@@ -96,20 +135,22 @@
 
 std::string encode(const assignment& value)
 {
+    life_index lives;
     Json::Value rows(Json::arrayValue);
     for (const auto& range : value.ranges()) {
         Json::Value row(Json::arrayValue);
         row.append(range.keys.first);
         row.append(range.keys.last);
         row.append(teaseltally::to_json(range.fence));
-        row.append(to_json(range.owner));
-        Json::Value former(Json::arrayValue);
+        row.append(lives.place(range.owner));
         for (const auto& life : range.former)
-            former.append(to_json(life));
-        row.append(former);
+            row.append(lives.place(life));
         rows.append(row);
     }
-    return json_text(rows);
+    Json::Value object;
+    object["targets"] = lives.rows();
+    object["ranges"] = rows;
+    return json_text(object);
 }
 
 result<assignment> decode_assignment(std::string_view text)
@@ -117,12 +158,15 @@
     auto parsed = parse_json(text, "ownership log");
     if (const auto* problem = failure(parsed))
         return *problem;
-    const auto& rows = std::get<Json::Value>(parsed);
-    if (!rows.isArray())
-        return malformed("an assignment is not a list");
+    const auto& object = std::get<Json::Value>(parsed);
+    if (!object.isObject() || !object["ranges"].isArray())
+        return malformed("an assignment has no ranges");
+    const auto lives = lives_from(object["targets"]);
+    if (!lives)
+        return malformed("the targets of an assignment are malformed");
     std::vector<owned_range> ranges;
-    for (const auto& row : rows) {
-        auto range = range_from(row);
+    for (const auto& row : object["ranges"]) {
+        auto range = range_from(row, *lives);
         if (!range)
             return malformed("range " + std::to_string(ranges.size()) + " is malformed: " + json_text(row));
         if (!ranges.empty() && ranges.back().keys.last >= range->keys.first)
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -207,7 +207,7 @@
         const auto& ranges = ranges_.find(service);
         const bool failing =
             ranges != ranges_.end() && std::ranges::any_of(ranges->second, [&](const managed_range& range) {
-                return range.owner.id == id && (range.owner_gone || is_failing(now, range));
+                return range.owner.id == entry.id && (range.owner_gone || is_failing(now, range));
             });
         if (failing)
             continue;
--- a/tests/balancer_tests.cpp
+++ b/tests/balancer_tests.cpp
@@ -129,9 +129,11 @@
     assignment made;
     made.give({0, last_key}, {"t1", 0, "10.0.0.1:80"}, 1);
     CHECK(!log.apply(now, "service/a", encode(made), 0));
-    for (const char* bad :
-         {"", "{", "[[1]]", "[[5,1,1,[\"a\",0,\"b\"],[]]]", "[[0,70000,1,[\"a\",0,\"b\"],[]]]",
-          "[[0,9,1,[\"a\",0,\"b\"],[]],[9,10,1,[\"a\",0,\"b\"],[]]]"}) {
+    const std::string targets = R"({"targets":[["a",0,"b"]],"ranges":)";
+    for (const auto& bad :
+         {std::string{}, std::string{"{"}, std::string{"[]"}, std::string{R"({"ranges":[]})"},
+          targets + "[[1]]}", targets + "[[5,1,1,0]]}", targets + "[[0,70000,1,0]]}",
+          targets + "[[0,9,1,1]]}", targets + "[[0,9,1,0],[9,10,1,0]]}"}) {
         CAPTURE(bad);
         const auto problem = log.apply(now, "service/a", bad, log.position());
         REQUIRE(problem);
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -97,10 +97,10 @@
                                       {"\"service\":\"y\"", "\"service\":\"z\"", "unknown service"},
                                       {"\"rows\":[[\"r1\"", "\"rows\":[1,[\"r1\"", "not a list"},
                                       {"16384", "\"many\"", "max-header-bytes"}}) {
-        CAPTURE(from);
-        const auto decoded = decode_configuration(changed(good_configuration, from, to));
+        INFO(std::string{tried.from});
+        const auto decoded = decode_configuration(changed(good_configuration, tried.from, tried.to));
         REQUIRE(failure(decoded) != nullptr);
-        CHECK(to_string(*failure(decoded)).find(says) != std::string::npos);
+        CHECK(to_string(*failure(decoded)).find(tried.says) != std::string::npos);
     }
 }
 
@@ -114,15 +114,15 @@
         const char* from;
         const char* to;
     };
-    for (const auto& [from, to] : std::initializer_list<wrong>{{"10.0.0.1:80", "somewhere"},
-                                                               {"\"ready\"", "\"asleep\""},
-                                                               {"\"slots\":4", "\"slots\":\"4\""},
-                                                               {"\"sequence\":4", "\"sequence\":null"},
-                                                               {"\"info\":{", "\"infos\":{"},
-                                                               {"\"born\":17", "\"born\":\"now\""},
-                                                               {"1500ms", "later"}}) {
-        CAPTURE(from);
-        const auto decoded = decode_target("i1", changed(good_target, from, to));
+    for (const auto& tried : std::initializer_list<wrong>{{"10.0.0.1:80", "somewhere"},
+                                                          {"\"ready\"", "\"asleep\""},
+                                                          {"\"slots\":4", "\"slots\":\"4\""},
+                                                          {"\"sequence\":4", "\"sequence\":null"},
+                                                          {"\"info\":{", "\"infos\":{"},
+                                                          {"\"born\":17", "\"born\":\"now\""},
+                                                          {"1500ms", "later"}}) {
+        INFO(std::string{tried.from});
+        const auto decoded = decode_target("i1", changed(good_target, tried.from, tried.to));
         REQUIRE(failure(decoded) != nullptr);
         CHECK(to_string(*failure(decoded)).find("target \"i1\"") != std::string::npos);
     }
