--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -89,7 +89,7 @@
         const char* to;
         const char* says;
     };
-    for (const auto& [from, to, says] :
+    for (const auto& tried :
          std::initializer_list<wrong>{{"\"0000000c\"", "\"zz\"", "version"},
                                       {"\"/a/\"", "\"/a\"", "path-prefix"},
                                       {"\"1000ms\"", "1000", "timeout"},
