Drop requests read after their callers left; replace a restarted coordinator at once

Ruled out: waiting in the router, which ends with the caller's departure.

Change: a connection that is closed when its request has been read ends it; two denials in a row make the coordinator's place vacant.

--- a/include/teaseltally/ownership/range_manager.hpp
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -109,6 +109,11 @@
     /// Takes in what an instance saw of a target.
     void note_speed(std::string_view target, const speed_report& report);
 
+    /// Notes what the process at the coordinator's address says of itself.
+    /// @param session session of the coordinator that was asked.
+    /// @param coordinates whether it coordinates.
+    void note_coordinator(std::uint64_t session, bool coordinates);
+
     /// Decides what is due.
     [[nodiscard]] std::vector<ownership_action> tick(time_point now, const ownership_view& view);
     /// Takes in the end of the append; its records are folded into the log first.
@@ -197,6 +202,8 @@
                         const std::string& handover) const;
     void ordered_grant(time_point now, managed_range& range, order_end end) const;
     void release_former(time_point now, managed_range& range, std::vector<ownership_action>& out);
+    /// @returns whether grants to a target do not get through.
+    [[nodiscard]] bool has_lost(time_point now, const std::string& service, std::string_view target) const;
     [[nodiscard]] bool is_failing(time_point now, const managed_range& range) const;
     [[nodiscard]] bool grant_in_flight(std::string_view target, key_range keys) const;
     [[nodiscard]] milliseconds longest_hold() const noexcept { return timing_.hold + timing_.hold / 50; }
@@ -211,6 +218,9 @@
     time_point authority_until_{};
     time_point first_tick_{};
     time_point last_tick_{};
+    /// Session of a coordinator that denied to be one, and how often in a row.
+    std::uint64_t denied_session_ = 0;
+    unsigned denials_ = 0;
     bool append_open_ = false;
     bool claiming_ = false;
     time_point append_sent_{};
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -48,6 +48,14 @@
            failed.category() == http::make_error_code(http::error::bad_value).category();
 }
 
+/// @returns whether the other side has closed the connection and no bytes are left to read.
+bool has_left(asio::ip::tcp::socket& socket)
+{
+    char byte = 0;
+    const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 /// Watches a caller's connection while its request is on its way.
 class departure_watch {
 public:
@@ -61,9 +69,7 @@
                                                           request = std::move(request)](error_code failed) {
                 if (failed == asio::error::operation_aborted)
                     return;
-                char byte = 0;
-                const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-                if (failed || count <= 0)
+                if (failed || has_left(socket))
                     request->abandon();
             }));
     }
@@ -220,6 +226,9 @@
             co_await refuse(*caller, failed);
         co_return false;
     }
+    // A request that was read late may have been given up meanwhile.
+    if (caller->buffer.size() == 0 && has_left(caller->stream.socket()))
+        co_return false;
     const bool keep_asked = parser.keep_alive();
     const bool head = parser.get().method() == http::verb::head;
     const unsigned version = parser.get().version();
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -8,6 +8,8 @@
 /// Time of an answer assumed while no target's is known.
 constexpr double default_service_us = 200'000;
 constexpr double us_per_s = 1e6;
+/// Answers in a row with which a coordinator denies to be one before another takes over at once.
+constexpr unsigned denials_to_take_over = 2;
 /// Time beyond a grant's hold for clocks and delivery.
 constexpr milliseconds hold_margin{150};
 
@@ -31,6 +33,15 @@
     found->second.add(key, requests);
 }
 
+void range_manager::note_coordinator(std::uint64_t session, bool coordinates)
+{
+    if (coordinates || session != denied_session_)
+        denials_ = 0;
+    denied_session_ = session;
+    if (!coordinates)
+        ++denials_;
+}
+
 void range_manager::note_speed(std::string_view target, const speed_report& report)
 {
     auto found = speeds_.find(target);
@@ -79,7 +90,9 @@
         return;
     }
     const auto silent_since = std::max(first_tick_, view.log.heard());
-    const auto patience = view.log.claim() ? timing_.takeover_after + jitter_ : jitter_;
+    const bool vacant = !view.log.claim() ||
+                        (view.log.claim()->session == denied_session_ && denials_ >= denials_to_take_over);
+    const auto patience = vacant ? jitter_ : timing_.takeover_after + jitter_;
     if (now - silent_since < patience)
         return;
     append_open_ = true;
@@ -181,6 +194,14 @@
     return former;
 }
 
+bool range_manager::has_lost(time_point now, const std::string& service, std::string_view target) const
+{
+    const auto found = ranges_.find(service);
+    return found != ranges_.end() && std::ranges::any_of(found->second, [&](const managed_range& range) {
+               return range.owner.id == target && (range.owner_gone || is_failing(now, range));
+           });
+}
+
 double range_manager::average_service_us(const ownership_view& view, const std::string& service) const
 {
     double sum = 0;
@@ -204,12 +225,7 @@
     for (const auto& [id, entry] : view.directory.entries()) {
         if (entry.service != service || entry.draining)
             continue;
-        const auto& ranges = ranges_.find(service);
-        const bool failing =
-            ranges != ranges_.end() && std::ranges::any_of(ranges->second, [&](const managed_range& range) {
-                return range.owner.id == entry.id && (range.owner_gone || is_failing(now, range));
-            });
-        if (failing)
+        if (has_lost(now, service, id))
             continue;
         const auto speed = speeds_.find(id);
         const auto known = speed == speeds_.end() ? std::nullopt : speed->second.service_time();
--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -90,6 +90,28 @@
     }
 }
 
+TEST_CASE("a coordinator that denies to be one is replaced at once")
+{
+    const auto start = time_point{std::chrono::hours{1}};
+    const coordinator_claim earlier{"n1", 1, "10.1.0.1:1"};
+    const auto appends_after = [&](unsigned denials, milliseconds waited) {
+        range_manager manager({"n2", 2, "10.1.0.2:1"}, {}, milliseconds{100});
+        ownership_log log;
+        log.apply(start, ownership_log::claim_key, encode(earlier), 0);
+        const target_directory directory;
+        const std::vector<std::string> keyed;
+        static_cast<void>(manager.tick(start, {log, directory, keyed, start, true}));
+        for (unsigned count = 0; count < denials; ++count)
+            manager.note_coordinator(1, false);
+        const auto now = start + waited;
+        return !manager.tick(now, {log, directory, keyed, now, true}).empty();
+    };
+    CHECK(appends_after(2, milliseconds{200}));
+    CHECK(!appends_after(1, milliseconds{200}));
+    CHECK(!appends_after(0, milliseconds{2000}));
+    CHECK(appends_after(0, milliseconds{2700}));
+}
+
 TEST_CASE("the check of holders notices targets whose clocks are slower than allowed")
 {
     std::size_t noticed = 0;
