Bound the wait for former owners by when their records were read

Ruled out: the balance and the directory: the ranges had live owners and waited for releases at addresses that nobody answers.

A test with four takeovers in 24 s failed before.

Open: a former owner that left during an outage of the store is still waited for, up to 18 s after a takeover.

--- a/include/teaseltally/ownership/assignment.hpp
+++ b/include/teaseltally/ownership/assignment.hpp
@@ -127,6 +127,8 @@
     [[nodiscard]] std::uint64_t term() const noexcept { return term_; }
     /// When a record was last read.
     [[nodiscard]] time_point heard() const noexcept { return heard_; }
+    /// @returns when an assignment with a fence was read first, which is after it was appended.
+    [[nodiscard]] time_point seen(std::uint64_t fence) const;
     [[nodiscard]] const assignment* find(std::string_view service) const;
     [[nodiscard]] const std::map<std::string, assignment, std::less<>>& services() const noexcept
     {
@@ -140,6 +142,8 @@
     time_point heard_{};
     std::map<std::string, assignment, std::less<>> services_;
     std::map<std::string, std::uint64_t, std::less<>> offsets_;
+    /// When the assignments at recent offsets were read.
+    std::map<std::uint64_t, time_point> seen_;
 };
 
 } // namespace teaseltally
--- a/include/teaseltally/ownership/range_manager.hpp
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -21,11 +21,13 @@
     milliseconds hold{6000};
     milliseconds renew_every{2000};
     /// How long a coordinator may send grants after the log last accepted a record of its term.
-    milliseconds authority{12'000};
+    milliseconds authority{10'500};
     milliseconds heartbeat{1000};
     /// Silence of the coordinator after which another takes over.
     milliseconds takeover_after{2500};
     milliseconds order_retry{300};
+    /// Time between two releases of keys at a target that does not answer; there may be many such ranges.
+    milliseconds release_retry{1000};
     /// Time for which grants must fail before a target is taken for lost.
     milliseconds failing_after{1000};
     milliseconds balance_every{250};
@@ -184,10 +186,11 @@
     void begin_term(time_point now, const ownership_view& view);
     void step_down();
     void reconcile(time_point now, const ownership_view& view);
-    [[nodiscard]] service_ranges reconciled(time_point now, const assignment& committed,
-                                            const service_ranges& before, bool adopted) const;
-    [[nodiscard]] std::vector<former_hold> former_of(const owned_range& range, const service_ranges& before,
-                                                     bool adopted) const;
+    [[nodiscard]] service_ranges reconciled(time_point now, const ownership_log& log,
+                                            const assignment& committed, const service_ranges& before,
+                                            bool adopted) const;
+    [[nodiscard]] std::vector<former_hold> former_of(const ownership_log& log, const owned_range& range,
+                                                     const service_ranges& before, bool adopted) const;
     void plan(time_point now, const ownership_view& view, std::vector<ownership_action>& out);
     [[nodiscard]] std::optional<assignment> plan_service(time_point now, const ownership_view& view,
                                                          const std::string& service, std::uint64_t fence);
@@ -206,6 +209,8 @@
     [[nodiscard]] bool has_lost(time_point now, const std::string& service, std::string_view target) const;
     [[nodiscard]] bool is_failing(time_point now, const managed_range& range) const;
     [[nodiscard]] bool grant_in_flight(std::string_view target, key_range keys) const;
+    /// @returns time from a record to the end of the last grant by a coordinator that did not know it.
+    [[nodiscard]] milliseconds longest_authority() const noexcept;
     [[nodiscard]] milliseconds longest_hold() const noexcept { return timing_.hold + timing_.hold / 50; }
 
     coordinator_claim self_;
@@ -213,6 +218,8 @@
     milliseconds jitter_;
     bool coordinates_ = false;
     std::uint64_t term_ = 0;
+    /// When the last record before this term was read.
+    time_point predecessor_heard_{};
     /// When grants of all earlier coordinators have run out.
     time_point predecessors_until_{};
     time_point authority_until_{};
@@ -222,7 +229,6 @@
     std::uint64_t denied_session_ = 0;
     unsigned denials_ = 0;
     bool append_open_ = false;
-    bool claiming_ = false;
     time_point append_sent_{};
     time_point last_append_{};
     /// The log must be read once more from after this time before anything is appended.
--- a/src/ownership/assignment.cpp
+++ b/src/ownership/assignment.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Json::ArrayIndex least_range_fields = 4;
+/// Assignments whose time of reading is remembered.
+constexpr std::size_t most_seen = 4096;
 
 Json::Value to_json(const target_life& life)
 {
@@ -223,10 +225,19 @@
     auto decoded = decode_assignment(value);
     if (const auto* problem = failure(decoded))
         return *problem;
+    seen_.emplace(offset, now);
+    if (seen_.size() > most_seen)
+        seen_.erase(seen_.begin());
     services_[std::string{key.substr(service_prefix.size())}] = std::get<assignment>(std::move(decoded));
     return std::nullopt;
 }
 
+time_point ownership_log::seen(std::uint64_t fence) const
+{
+    const auto found = seen_.lower_bound(fence);
+    return found == seen_.end() ? heard_ : found->second;
+}
+
 const assignment* ownership_log::find(std::string_view service) const
 {
     const auto found = services_.find(service);
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -96,7 +96,7 @@
     if (now - silent_since < patience)
         return;
     append_open_ = true;
-    claiming_ = true;
+    predecessor_heard_ = silent_since;
     append_sent_ = now;
     append_order order;
     order.records.push_back({std::string{ownership_log::claim_key}, encode(self_)});
@@ -109,13 +109,18 @@
     coordinates_ = true;
     term_ = view.log.term();
     authority_until_ = append_sent_ + timing_.authority;
-    predecessors_until_ = now + timing_.authority + timing_.order_timeout + longest_hold() + hold_margin;
+    predecessors_until_ = predecessor_heard_ + longest_authority();
     last_append_ = now;
     ranges_.clear();
     adopt_next_ = true;
     reconciled_position_ = 0;
 }
 
+milliseconds range_manager::longest_authority() const noexcept
+{
+    return timing_.authority + timing_.order_timeout + longest_hold() + hold_margin;
+}
+
 void range_manager::step_down()
 {
     coordinates_ = false;
@@ -126,7 +131,6 @@
 void range_manager::appended(time_point now, append_end end)
 {
     append_open_ = false;
-    claiming_ = false;
     if (end == append_end::done) {
         authority_until_ = std::max(authority_until_, append_sent_ + timing_.authority);
         last_append_ = now;
@@ -141,11 +145,12 @@
         return;
     reconciled_position_ = view.log.position();
     for (const auto& [service, committed] : view.log.services())
-        ranges_[service] = reconciled(now, committed, ranges_[service], adopt_next_);
+        ranges_[service] = reconciled(now, view.log, committed, ranges_[service], adopt_next_);
     adopt_next_ = false;
 }
 
-range_manager::service_ranges range_manager::reconciled(time_point now, const assignment& committed,
+range_manager::service_ranges range_manager::reconciled(time_point now, const ownership_log& log,
+                                                        const assignment& committed,
                                                         const service_ranges& before, bool adopted) const
 {
     service_ranges next;
@@ -164,7 +169,7 @@
         added.owner = range.owner;
         added.recorded_fence = range.fence;
         added.fence = std::max(range.fence, term_);
-        added.former = former_of(range, before, adopted);
+        added.former = former_of(log, range, before, adopted);
         added.hold_until = adopted ? predecessors_until_ : time_point{};
         added.next_grant = now;
         next.push_back(std::move(added));
@@ -172,13 +177,15 @@
     return next;
 }
 
-std::vector<range_manager::former_hold>
-range_manager::former_of(const owned_range& range, const service_ranges& before, bool adopted) const
+std::vector<range_manager::former_hold> range_manager::former_of(const ownership_log& log,
+                                                                 const owned_range& range,
+                                                                 const service_ranges& before,
+                                                                 bool adopted) const
 {
     std::vector<former_hold> former;
     if (adopted) {
         for (const auto& life : range.former)
-            former.push_back({life, range.keys, predecessors_until_, 0, {}, false});
+            former.push_back({life, range.keys, log.seen(range.fence) + longest_authority(), 0, {}, false});
         return former;
     }
     for (const auto& old : before) {
@@ -381,7 +388,7 @@
         if (hold.open_order != id)
             continue;
         hold.open_order = 0;
-        hold.next_try = now + timing_.order_retry;
+        hold.next_try = now + timing_.release_retry;
         if (end != order_end::done && end != order_end::gone)
             continue;
         hold.ended = true;
--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -112,6 +112,21 @@
     CHECK(appends_after(0, milliseconds{2700}));
 }
 
+TEST_CASE("repeated takeovers do not put off keys whose former owner is gone")
+{
+    ownership_world world(7, {}, 3, 6);
+    world.run(milliseconds{4000});
+    world.lose_target(world.holder(700));
+    // Each takeover must not start the wait for the lost target anew.
+    for (int takeover = 0; takeover < 4; ++takeover) {
+        world.run(milliseconds{6000});
+        world.kill_coordinator();
+    }
+    world.run(milliseconds{8000});
+    CHECK(world.violations().empty());
+    CHECK(world.held_share() == 1.0);
+}
+
 TEST_CASE("the check of holders notices targets whose clocks are slower than allowed")
 {
     std::size_t noticed = 0;
--- a/tests/support/ownership_world.cpp
+++ b/tests/support/ownership_world.cpp
@@ -31,6 +31,8 @@
     target_life life;
     bool alive = true;
     bool draining = false;
+    /// Nobody answers at its address.
+    bool dark = false;
     std::vector<held> holds;
     std::vector<std::uint64_t> seen = std::vector<std::uint64_t>(std::size_t{last_key} + 1);
 };
@@ -77,6 +79,11 @@
     return found == targets_.end() ? nullptr : found->get();
 }
 
+bool ownership_world::is_dark(const std::string& id) const
+{
+    return std::ranges::any_of(targets_, [&](const auto& item) { return item->life.id == id && item->dark; });
+}
+
 void ownership_world::set_hot(key_number key, double requests_per_s)
 {
     hot_[key] = requests_per_s;
@@ -140,6 +147,24 @@
     }
 }
 
+void ownership_world::lose_target(const std::string& id)
+{
+    auto* lost = find(id);
+    lost->alive = false;
+    lost->dark = true;
+    lost->holds.clear();
+    directory_.remove(id, ++directory_position_);
+}
+
+void ownership_world::kill_coordinator()
+{
+    for (auto& each : nodes_)
+        if (each->manager && each->manager->coordinates()) {
+            each->manager.reset();
+            each->dead_until = now_ + milliseconds{500};
+        }
+}
+
 void ownership_world::cut_log(milliseconds duration)
 {
     for (auto& each : nodes_)
@@ -257,7 +282,7 @@
 void ownership_world::grant(node& from, const grant_order& order)
 {
     const auto session = from.session;
-    if (chance(faults_.order_not_sent)) {
+    if (is_dark(order.to.id) || chance(faults_.order_not_sent)) {
         later(transit,
               [this, &from, session, order] { answer(from, session, order.id, order_end::not_sent, {}); });
         return;
@@ -281,7 +306,9 @@
     const auto session = from.session;
     auto* at = find(order.at.id);
     auto end = order_end::done;
-    if (at == nullptr)
+    if (is_dark(order.at.id))
+        end = order_end::not_sent;
+    else if (at == nullptr)
         end = order_end::gone;
     else if (chance(faults_.order_not_sent))
         end = order_end::not_sent;
--- a/tests/support/ownership_world.hpp
+++ b/tests/support/ownership_world.hpp
@@ -54,6 +54,10 @@
     void run(milliseconds duration);
     /// Ends all faults.
     void calm() { faults_ = {.slow_clock = faults_.slow_clock}; }
+    /// Ends a target for good; nobody answers at its address, and its entry goes.
+    void lose_target(const std::string& id);
+    /// Kills the process that coordinates.
+    void kill_coordinator();
     /// Makes a target drain.
     void start_drain(const std::string& id);
     /// Cuts every coordinator from the log.
@@ -92,6 +96,7 @@
     void check();
     [[nodiscard]] bool chance(double probability);
     [[nodiscard]] milliseconds between(int low, int high);
+    [[nodiscard]] bool is_dark(const std::string& id) const;
     [[nodiscard]] target* find(const std::string& id);
     void later(milliseconds delay, std::function<void()> run);
 
