--- a/tests/support/ownership_world.cpp
+++ b/tests/support/ownership_world.cpp
@@ -306,12 +306,10 @@
     const auto session = from.session;
     auto* at = find(order.at.id);
     auto end = order_end::done;
-    if (is_dark(order.at.id))
+    if (is_dark(order.at.id) || (at != nullptr && chance(faults_.order_not_sent)))
         end = order_end::not_sent;
     else if (at == nullptr)
         end = order_end::gone;
-    else if (chance(faults_.order_not_sent))
-        end = order_end::not_sent;
     else {
         for (std::uint32_t key = order.keys.first; key <= order.keys.last; ++key)
             at->seen[key] = std::max(at->seen[key], order.fence);
