--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -1,5 +1,6 @@
 #include "../platform/settings.hpp"
 #include "../platform/store_client.hpp"
+#include "../platform/topic_follower.hpp"
 #include "../platform/wire.hpp"
 
 #include <doctest/doctest.h>
@@ -165,6 +166,14 @@
     }
 }
 
+TEST_CASE("a configuration that wakes no waiting read is in force in time")
+{
+    // One read, half a second for its answer and the way to the instances that follow.
+    constexpr milliseconds rest{500};
+    for (const milliseconds apply : {milliseconds{1500}, milliseconds{2000}, milliseconds{6000}})
+        CHECK(configuration_pace(apply).wait + rest < apply);
+}
+
 TEST_CASE("base64 is decoded or refused")
 {
     CHECK(decode_base64("aGVsbG8=") == "hello");
