Probe a target that dropped a request until its process is gone

A process that ends may close its connections before its listener; the one probe after the lost answer was then accepted and reset, and the crash was not counted.

Ruled out: the notice to the others: the instance that saw the crash had not counted it either.

Change: up to three probes 30 ms apart; only a refused one counts.

--- a/src/net/target_link.cpp
+++ b/src/net/target_link.cpp
@@ -13,6 +13,8 @@
 namespace http = boost::beast::http;
 constexpr milliseconds probe_interval{300};
 constexpr milliseconds probe_limit{500};
+constexpr int crash_probes = 3;
+constexpr milliseconds crash_probe_pause{30};
 constexpr milliseconds grant_lifetime{2000};
 /// Silence after which a target counts as down.
 constexpr milliseconds down_after{1200};
@@ -278,10 +280,20 @@
 /// Counts a crash if the target's process is gone right after it dropped a request.
 asio::awaitable<void> target_link::note_crash(std::uint64_t fingerprint)
 {
-    auto outcome = co_await context_.targets.exchange(
-        address_, make_request(http::verb::post, "/tt/grants", "{}"), boot_clock::now() + probe_limit);
-    const auto* failed = std::get_if<http_failure>(&outcome);
-    if (failed == nullptr || failed->sent || failed->timed_out)
+    // A process that ends may close its connections before its listener, so that one probe can still get in.
+    bool refused = false;
+    for (int probe = 0; probe < crash_probes && !refused; ++probe) {
+        if (probe > 0)
+            co_await sleep_for(crash_probe_pause);
+        auto request = make_request(http::verb::post, "/tt/grants", "{}");
+        const auto deadline = boot_clock::now() + probe_limit;
+        auto outcome = co_await context_.targets.exchange(address_, std::move(request), deadline);
+        const auto* failed = std::get_if<http_failure>(&outcome);
+        if (failed == nullptr || failed->timed_out)
+            co_return;
+        refused = !failed->sent;
+    }
+    if (!refused)
         co_return;
     note_probe(false, true);
     const auto& deployment = context_.decisions.state().settings().deployment;
