Fill the targets of a balancing test without growing a list

Cause: the linter refuses push_back in a loop whose length is known. Ruled out: switching the check off. Change: the list has its size from the start.

--- a/tests/balancer_tests.cpp
+++ b/tests/balancer_tests.cpp
@@ -67,9 +67,9 @@
 
 TEST_CASE("a load many times too large for its owner goes to many targets in one round")
 {
-    std::vector<balance_target> targets;
-    for (int index = 0; index < 40; ++index)
-        targets.push_back({{"t" + std::to_string(index), 0, "10.0.0.1:80"}, 20});
+    std::vector<balance_target> targets(40);
+    for (std::size_t index = 0; index < targets.size(); ++index)
+        targets[index] = {{"t" + std::to_string(index), 0, "10.0.0.1:80"}, 20};
     const auto made = assigned(spread_evenly(targets));
     key_load load;
     const auto hot = made.ranges().front().keys;
