Keep for each former owner when it lost a range

A range that changes hands again took its former owners along with the time of the newest change, so the successor of a coordinator waited for all of them anew. Ruled out: releases that never arrive as the cause: they fail 100 times a second to addresses where nobody is, as they should, and the wait ends by time. Change: the time of the log stands with each former owner instead of the range. Tests: the log alone tells two former owners apart; rows that are malformed.

--- a/include/teaseltally/ownership/assignment.hpp
+++ b/include/teaseltally/ownership/assignment.hpp
@@ -46,16 +46,21 @@
     bool operator==(const target_life&) const = default;
 };
 
+/// An owner before the present one whose grants are not known to have ended.
+struct former_owner {
+    target_life life;
+    /// Time of the log (see `coordinator_claim::elapsed`) at which the range was taken from it.
+    milliseconds since{0};
+    bool operator==(const former_owner&) const = default;
+};
+
 /// A range and its owner.
 struct owned_range {
     key_range keys;
     target_life owner;
     /// Fencing token of the assignment: the offset of the record that made it.
     std::uint64_t fence = 0;
-    /// Time of the log (see `coordinator_claim::elapsed`) before which the range was not given to its owner.
-    milliseconds given{0};
-    /// Owners before this one whose grants are not known to have ended.
-    std::vector<target_life> former;
+    std::vector<former_owner> former;
     bool operator==(const owned_range&) const = default;
 };
 
@@ -135,9 +140,9 @@
     [[nodiscard]] std::uint64_t term() const noexcept { return term_; }
     /// When a record was last read.
     [[nodiscard]] time_point heard() const noexcept { return heard_; }
-    /// @returns the latest time at which the coordinator may have sent the record that gave a range to its
-    /// owner: when it was read first, or earlier by the time of the log.
-    [[nodiscard]] time_point given_by(const owned_range& range) const;
+    /// @returns the latest time at which the coordinator may have sent the record that took a range from a
+    /// former owner: when the range's record was read first, or earlier by the time of the log.
+    [[nodiscard]] time_point taken_by(const owned_range& range, const former_owner& former) const;
     /// @returns a time of the log that has passed now.
     [[nodiscard]] milliseconds elapsed(time_point now) const noexcept;
     [[nodiscard]] const assignment* find(std::string_view service) const;
--- a/src/ownership/assignment.cpp
+++ b/src/ownership/assignment.cpp
@@ -7,9 +7,8 @@
 namespace teaseltally {
 namespace {
 
-/// Places of the time of the log and of the owner in the row of a range.
-constexpr Json::ArrayIndex given_field = 3;
-constexpr Json::ArrayIndex owner_field = 4;
+/// Place of the owner in the row of a range; a place and a time for each former owner come after it.
+constexpr Json::ArrayIndex owner_field = 3;
 /// Assignments whose time of reading is remembered.
 constexpr std::size_t most_seen = 4096;
 
@@ -45,27 +44,32 @@
     return lives;
 }
 
-/// Reads a row of first key, last key, fence, time of the log, owner and former owners, the owners as places
-/// in a table.
+const target_life* life_at(const Json::Value& place, const life_table& lives)
+{
+    return place.isUInt() && place.asUInt() < lives.size() ? &lives[place.asUInt()] : nullptr;
+}
+
+/// Reads a row of first key, last key, fence and owner, then each former owner and when it was one last. The
+/// owners are places in a table.
 std::optional<owned_range> range_from(const Json::Value& row, const life_table& lives)
 {
-    if (!row.isArray() || row.size() <= owner_field || !row[0].isUInt() || !row[1].isUInt() ||
-        !row[2].isUInt64() || !row[given_field].isInt64())
+    if (!row.isArray() || row.size() <= owner_field || row.size() % 2 != 0 || !row[0].isUInt() ||
+        !row[1].isUInt() || !row[2].isUInt64())
         return std::nullopt;
     if (row[0].asUInt() > row[1].asUInt() || row[1].asUInt() > last_key)
         return std::nullopt;
     owned_range range;
     range.keys = {static_cast<key_number>(row[0].asUInt()), static_cast<key_number>(row[1].asUInt())};
     range.fence = row[2].asUInt64();
-    range.given = milliseconds{row[given_field].asInt64()};
-    for (Json::ArrayIndex index = owner_field; index < row.size(); ++index) {
-        if (!row[index].isUInt() || row[index].asUInt() >= lives.size())
+    const auto* owner = life_at(row[owner_field], lives);
+    if (owner == nullptr)
+        return std::nullopt;
+    range.owner = *owner;
+    for (Json::ArrayIndex index = owner_field + 1; index < row.size(); index += 2) {
+        const auto* life = life_at(row[index], lives);
+        if (life == nullptr || !row[index + 1].isInt64())
             return std::nullopt;
-        const auto& life = lives[row[index].asUInt()];
-        if (index == owner_field)
-            range.owner = life;
-        else
-            range.former.push_back(life);
+        range.former.push_back({*life, milliseconds{row[index + 1].asInt64()}});
     }
     return range;
 }
@@ -113,17 +117,22 @@
 void assignment::give(key_range keys, const target_life& owner, std::uint64_t fence, milliseconds at)
 {
     std::vector<owned_range> next;
-    owned_range given{keys, owner, fence, at, {}};
-    const auto note_former = [&](const target_life& life) {
-        if (life.id != owner.id && std::ranges::find(given.former, life) == given.former.end())
-            given.former.push_back(life);
+    owned_range given{keys, owner, fence, {}};
+    const auto note_former = [&](const former_owner& former) {
+        if (former.life.id == owner.id)
+            return;
+        const auto noted = std::ranges::find(given.former, former.life, &former_owner::life);
+        if (noted == given.former.end())
+            given.former.push_back(former);
+        else
+            noted->since = std::max(noted->since, former.since);
     };
     for (const auto& range : ranges_) {
         if (!range.keys.overlaps(keys)) {
             next.push_back(range);
             continue;
         }
-        note_former(range.owner);
+        note_former({range.owner, at});
         std::ranges::for_each(range.former, note_former);
         if (range.keys.first < keys.first) {
             next.push_back(range);
@@ -148,10 +157,11 @@
         row.append(range.keys.first);
         row.append(range.keys.last);
         row.append(teaseltally::to_json(range.fence));
-        row.append(Json::Value{static_cast<Json::Int64>(range.given.count())});
         row.append(lives.place(range.owner));
-        for (const auto& life : range.former)
+        for (const auto& [life, since] : range.former) {
             row.append(lives.place(life));
+            row.append(Json::Value{static_cast<Json::Int64>(since.count())});
+        }
         rows.append(row);
     }
     Json::Value object;
@@ -239,13 +249,13 @@
     return std::nullopt;
 }
 
-time_point ownership_log::given_by(const owned_range& range) const
+time_point ownership_log::taken_by(const owned_range& range, const former_owner& former) const
 {
     const auto found = seen_.lower_bound(range.fence);
     const auto read = found == seen_.end() ? heard_ : found->second;
-    if (!claim_ || claim_->elapsed <= range.given)
+    if (!claim_ || claim_->elapsed <= former.since)
         return read;
-    return std::min<time_point>(read, claim_heard_ - (claim_->elapsed - range.given));
+    return std::min<time_point>(read, claim_heard_ - (claim_->elapsed - former.since));
 }
 
 milliseconds ownership_log::elapsed(time_point now) const noexcept
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -194,8 +194,9 @@
 {
     std::vector<former_hold> former;
     if (adopted) {
-        for (const auto& life : range.former)
-            former.push_back({life, range.keys, log.given_by(range) + longest_authority(), 0, {}, false});
+        for (const auto& earlier : range.former)
+            former.push_back(
+                {earlier.life, range.keys, log.taken_by(range, earlier) + longest_authority(), 0, {}, false});
         return former;
     }
     for (const auto& old : before) {
--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -121,6 +121,41 @@
     CHECK(world.held_share() == 1.0);
 }
 
+TEST_CASE("a process that has just started knows from the log how long former owners are former")
+{
+    const auto start = time_point{std::chrono::hours{1}};
+    const auto owner = [](const char* id) { return target_life{id, 0, "10.0.0.1:80"}; };
+    assignment moved;
+    moved.give({0, last_key}, owner("a"), 1, milliseconds{0});
+    moved.give({0, 99}, owner("b"), 5, milliseconds{1000});
+    moved.give({0, 99}, owner("c"), 9, milliseconds{15'000});
+    ownership_log log;
+    const auto key = std::string{ownership_log::service_prefix} + "ledger";
+    CHECK(!log.apply(start, key, encode(moved), 9));
+    const coordinator_claim claim{"n1", 1, "10.1.0.1:1", milliseconds{16'000}};
+    CHECK(!log.apply(start, ownership_log::claim_key, encode(claim), 10));
+    const auto* range = log.find("ledger")->find(7);
+    REQUIRE(range != nullptr);
+    CHECK(range->owner.id == "c");
+    REQUIRE(range->former.size() == 2);
+    for (const auto& former : range->former)
+        CHECK(log.taken_by(*range, former) ==
+              start - (former.life.id == "a" ? milliseconds{15'000} : milliseconds{1000}));
+    CHECK(log.elapsed(start + milliseconds{5000}) < milliseconds{21'000});
+    CHECK(log.elapsed(start + milliseconds{5000}) > milliseconds{20'800});
+}
+
+TEST_CASE("assignments with malformed rows are refused")
+{
+    const std::string targets = R"("targets":[["a",0,"x:1"]])";
+    CHECK(failure(decode_assignment("{" + targets + R"(,"ranges":[[0,9,1,0,0,500]]})")) == nullptr);
+    for (const char* row : {"[0,9,1]", "[0,9,1,1]", "[0,9,1,0,0]", "[0,9,1,0,1,500]", R"([0,9,1,0,0,"x"])",
+                            "[9,0,1,0]", "[0,65536,1,0]", "[0,9,-1,0]"}) {
+        CAPTURE(std::string{row});
+        CHECK(failure(decode_assignment("{" + targets + ",\"ranges\":[" + row + "]}")) != nullptr);
+    }
+}
+
 TEST_CASE("a process that has just started waits for the grants of a coordinator that it never heard of")
 {
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
