--- a/include/teaseltally/admission/retry_budget.hpp
+++ b/include/teaseltally/admission/retry_allowance.hpp
@@ -9,11 +9,11 @@
 
 /// Token bucket that earns a fraction of a token with each request. In any span of time it grants at most
 /// its capacity plus the ratio times the requests of that span.
-class retry_budget {
+class retry_allowance {
 public:
     /// @param ratio tokens earned by one request.
     /// @param capacity greatest number of tokens held.
-    retry_budget(double ratio, double capacity) : ratio_(ratio), capacity_(capacity), tokens_(capacity) {}
+    retry_allowance(double ratio, double capacity) : ratio_(ratio), capacity_(capacity), tokens_(capacity) {}
 
     /// Changes the capacity, such as when the number of instances that share a bound changes.
     void resize(double capacity) noexcept
--- a/include/teaseltally/admission/target_load.hpp
+++ b/include/teaseltally/admission/target_load.hpp
@@ -11,17 +11,17 @@
 namespace teaseltally {
 
 /// What a target states of itself with an answer.
-struct load_report {
+struct stated_load {
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 1;
-    bool operator==(const load_report&) const = default;
+    bool operator==(const stated_load&) const = default;
 };
 
 /// Parses "RUNNING,WAITING,SLOTS".
 /// @param text value of the load header.
 /// @returns the report, or nothing if it is malformed.
-[[nodiscard]] std::optional<load_report> parse_load_report(std::string_view text) noexcept;
+[[nodiscard]] std::optional<stated_load> parse_stated_load(std::string_view text) noexcept;
 
 /// Load, speed and soundness of one target from its answers and from this instance's own requests.
 class target_load {
@@ -47,7 +47,7 @@
     /// Notes a connection that failed or an answer that did not come.
     void failed(time_point now) noexcept;
     /// Takes in what the target states.
-    void reported(time_point now, const load_report& report) noexcept;
+    void reported(time_point now, const stated_load& report) noexcept;
 
     /// @returns requests expected at the target, those of other instances included.
     [[nodiscard]] double occupancy(time_point now) const noexcept;
--- a/include/teaseltally/ownership/balancer.hpp
+++ b/include/teaseltally/ownership/balancer.hpp
@@ -63,7 +63,7 @@
 [[nodiscard]] std::vector<balance_move> spread_evenly(std::span<const balance_target> targets);
 
 /// Limits of one round of balancing.
-struct balance_limits {
+struct level_limits {
     /// Load of the busiest target, relative to its capacity, below which nothing moves.
     double busy = 0.55;
     /// Difference to the idlest target below which nothing moves.
@@ -87,6 +87,6 @@
 /// Moves narrow ranges from busy targets to idle ones.
 [[nodiscard]] std::vector<balance_move> level_load(const assignment& current,
                                                    std::span<const balance_target> targets,
-                                                   const key_load& load, const balance_limits& limits);
+                                                   const key_load& load, const level_limits& limits);
 
 } // namespace teaseltally
--- a/include/teaseltally/teaseltally.hpp
+++ b/include/teaseltally/teaseltally.hpp
@@ -38,3 +38,19 @@
 #include <teaseltally/service_window.hpp>
 
 #include <teaseltally/log_line.hpp>
+
+#include <teaseltally/routing/route_table.hpp>
+
+#include <teaseltally/knowledge/lapse_watch.hpp>
+#include <teaseltally/knowledge/record_stream.hpp>
+#include <teaseltally/knowledge/target_directory.hpp>
+
+#include <teaseltally/ownership/assignment.hpp>
+#include <teaseltally/ownership/balancer.hpp>
+#include <teaseltally/ownership/range_manager.hpp>
+#include <teaseltally/ownership/target_speed.hpp>
+
+#include <teaseltally/knowledge/traffic_report.hpp>
+
+#include <teaseltally/admission/retry_allowance.hpp>
+#include <teaseltally/admission/target_load.hpp>
--- a/src/admission/target_load.cpp
+++ b/src/admission/target_load.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-std::optional<load_report> parse_load_report(std::string_view text) noexcept
+std::optional<stated_load> parse_stated_load(std::string_view text) noexcept
 {
     std::array<unsigned, 3> values{};
     const char* at = text.data();
@@ -44,7 +44,7 @@
     }
     if (at != end || values[2] == 0)
         return std::nullopt;
-    return load_report{values[0], values[1], values[2]};
+    return stated_load{values[0], values[1], values[2]};
 }
 
 void target_load::started(time_point now) noexcept
@@ -89,7 +89,7 @@
     paused_until_ = now + std::min(pause, longest_pause);
 }
 
-void target_load::reported(time_point now, const load_report& report) noexcept
+void target_load::reported(time_point now, const stated_load& report) noexcept
 {
     const double total = report.running + report.waiting;
     // The request whose answer carries the report is no longer among those that are running.
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -79,7 +79,7 @@
 {
     auto found = services_.find(service);
     if (found == services_.end()) {
-        const retry_budget budget(settings_.retry_ratio * budget_share, budget_capacity());
+        const retry_allowance budget(settings_.retry_ratio * budget_share, budget_capacity());
         found = services_.emplace(service, service_state{budget}).first;
     }
     return found->second;
--- a/src/ownership/balancer.cpp
+++ b/src/ownership/balancer.cpp
@@ -238,7 +238,7 @@
 }
 
 std::vector<balance_move> level_load(const assignment& current, std::span<const balance_target> targets,
-                                     const key_load& load, const balance_limits& limits)
+                                     const key_load& load, const level_limits& limits)
 {
     std::vector<balance_move> moves;
     if (targets.size() < 2)
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -307,7 +307,7 @@
                                                const assignment& current,
                                                const std::vector<balance_target>& targets)
 {
-    balance_limits limits;
+    level_limits limits;
     auto& next_dominant = next_dominant_[service];
     limits.move_dominant = now >= next_dominant;
     limits.moves = std::max(limits.moves, targets.size() / targets_per_move);
--- a/tests/balancer_tests.cpp
+++ b/tests/balancer_tests.cpp
@@ -59,7 +59,7 @@
     REQUIRE(!moves.empty());
     CHECK(moves.front().keys == key_range{100, 100});
     CHECK(moves.front().to.id == "t2");
-    balance_limits resting;
+    level_limits resting;
     resting.move_dominant = false;
     for (const auto& move : level_load(made, targets, load, resting))
         CHECK(!move.keys.contains(100));
@@ -75,7 +75,7 @@
     const auto hot = made.ranges().front().keys;
     for (key_number step = 0; step < 120; ++step)
         load.add(static_cast<key_number>(hot.first + step), 2);
-    balance_limits limits;
+    level_limits limits;
     limits.moves = 20;
     const auto moves = level_load(made, targets, load, limits);
     CHECK(moves.size() == 20);
--- a/tests/knowledge_tests.cpp
+++ b/tests/knowledge_tests.cpp
@@ -1,4 +1,4 @@
-#include <teaseltally/admission/retry_budget.hpp>
+#include <teaseltally/admission/retry_allowance.hpp>
 #include <teaseltally/admission/target_load.hpp>
 #include <teaseltally/knowledge/lapse_watch.hpp>
 #include <teaseltally/knowledge/record_stream.hpp>
@@ -44,7 +44,7 @@
 TEST_CASE("a retry budget never grants more than its capacity and ratio in any span")
 {
     CHECK(rc::check([](const std::vector<bool>& steps) {
-        retry_budget budget(0.2, 5);
+        retry_allowance budget(0.2, 5);
         double requests = 0;
         double granted = 0;
         for (const bool request : steps) {
@@ -61,9 +61,9 @@
 
 TEST_CASE("load reports are read strictly")
 {
-    CHECK(parse_load_report("3,0,8") == load_report{3, 0, 8});
+    CHECK(parse_stated_load("3,0,8") == stated_load{3, 0, 8});
     for (const char* bad : {"", "3", "3,0", "3,0,", "3,0,8,", "-1,0,8", "3,0,0", "a,b,c", "3, 0,8"})
-        CHECK(!parse_load_report(bad));
+        CHECK(!parse_stated_load(bad));
 }
 
 TEST_CASE("a target without progress is not chosen until it answers")
