Mend what a reading of the change found

Cause: reading the change as a newcomer. The times at which an instance that starts reads which stream stood in three loops of the adapter. Releases that were not sent were tried every 300 ms, against the reason that stands beside their constant. A move without a time of the log counted as made at its start. More moves a round on large sites had brought nothing measurable, and broke assignments into pieces that every instance decodes. Two tests shared their body; chance, the longer average and reports to a fallback had none. Change: the feed itself is undecided until it has looked for others; 1 s between releases again; the time is stated with each move, negative ones are refused; six moves a round on all sites. Tests for reports, levelling by the longer average, former owners of merged ranges, claims. Guards taken out one at a time in a copy: order by size, fan-out, complete answers, reports to a fallback, each noticed; the rest follows.

--- a/include/teaseltally/net/peer_feed.hpp
+++ b/include/teaseltally/net/peer_feed.hpp
@@ -53,12 +53,12 @@
               delta_sink sink);
 
     void set_members(std::vector<feed_member> members) { members_ = std::move(members); }
-    /// Follows others for as long as the process runs.
+    /// Follows others for as long as the process runs. Until then it is open who reads the store.
     [[nodiscard]] asio::awaitable<void> run();
+    /// @returns whether `run` has begun.
+    [[nodiscard]] bool started() const noexcept { return started_; }
     /// @returns the address of the instance ahead that is followed; nothing while there is none.
     [[nodiscard]] const std::optional<std::string>& followed() const noexcept { return followed_; }
-    /// Starts as if another instance had been followed, which a new one has to find out.
-    void assume_followed() noexcept { reads_store_ = false; }
     /// @returns instances that wait for news.
     [[nodiscard]] std::size_t waiting() const noexcept { return waiting_.size(); }
     /// @returns whether this instance has to read the store itself.
@@ -98,7 +98,8 @@
     std::list<notifier*> waiting_;
     std::list<notifier*> standby_;
     std::optional<std::string> followed_;
-    bool reads_store_ = true;
+    bool started_ = false;
+    bool reads_store_ = false;
 };
 
 } // namespace teaseltally
--- a/include/teaseltally/ownership/assignment.hpp
+++ b/include/teaseltally/ownership/assignment.hpp
@@ -78,8 +78,8 @@
     /// @param keys the keys that change hands.
     /// @param owner their new owner.
     /// @param fence fencing token, above all that these keys had.
-    /// @param at time of the log.
-    void give(key_range keys, const target_life& owner, std::uint64_t fence, milliseconds at = {});
+    /// @param at time of the log, which the owners before remember.
+    void give(key_range keys, const target_life& owner, std::uint64_t fence, milliseconds at);
     /// Forgets former owners of ranges that match.
     template <typename Predicate>
     void settle(Predicate settled)
--- a/src/net/peer_feed.cpp
+++ b/src/net/peer_feed.cpp
@@ -226,6 +226,7 @@
 
 asio::awaitable<void> peer_feed::run()
 {
+    started_ = true;
     while (true) {
         const bool followed = co_await follow_first(preferred());
         if (followed) {
--- a/src/ownership/assignment.cpp
+++ b/src/ownership/assignment.cpp
@@ -67,7 +67,7 @@
     range.owner = *owner;
     for (Json::ArrayIndex index = owner_field + 1; index < row.size(); index += 2) {
         const auto* life = life_at(row[index], lives);
-        if (life == nullptr || !row[index + 1].isInt64())
+        if (life == nullptr || !row[index + 1].isInt64() || row[index + 1].asInt64() < 0)
             return std::nullopt;
         range.former.push_back({*life, milliseconds{row[index + 1].asInt64()}});
     }
@@ -210,7 +210,7 @@
         return *problem;
     const auto& object = std::get<Json::Value>(parsed);
     if (!object.isObject() || !object["instance"].isString() || !object["session"].isUInt64() ||
-        !object["address"].isString() || !object["elapsed"].isInt64())
+        !object["address"].isString() || !object["elapsed"].isInt64() || object["elapsed"].asInt64() < 0)
         return malformed("a coordinator's claim is malformed: " + json_text(object));
     return coordinator_claim{object["instance"].asString(), object["session"].asUInt64(),
                              object["address"].asString(), milliseconds{object["elapsed"].asInt64()}};
--- a/src/ownership/balancer.cpp
+++ b/src/ownership/balancer.cpp
@@ -282,7 +282,7 @@
             continue;
         }
         moves.push_back({found->keys, targets[to].life});
-        planned.give(found->keys, targets[to].life, 0);
+        planned.give(found->keys, targets[to].life, 0, {});
         table.add(busy, -found->rate);
         table.add(to, found->rate);
     }
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -10,8 +10,6 @@
 constexpr double us_per_s = 1e6;
 /// Answers in a row with which a coordinator denies to be one before another takes over at once.
 constexpr unsigned denials_to_take_over = 2;
-/// Targets for which one move is allowed in a round of balancing beyond the least number.
-constexpr std::size_t targets_per_move = 6;
 
 key_range overlap_of(key_range left, key_range right)
 {
@@ -310,7 +308,6 @@
     level_limits limits;
     auto& next_dominant = next_dominant_[service];
     limits.move_dominant = now >= next_dominant;
-    limits.moves = std::max(limits.moves, targets.size() / targets_per_move);
     const auto& load = loads_[service];
     auto moves = level_load(current, targets, load.recent, limits);
     if (moves.empty())
--- a/src/ownership/range_orders.cpp
+++ b/src/ownership/range_orders.cpp
@@ -61,7 +61,7 @@
         if (hold.open_order != id)
             continue;
         hold.open_order = 0;
-        hold.next_try = now + (end == order_end::not_sent ? timing_.order_retry : timing_.release_retry);
+        hold.next_try = now + timing_.release_retry;
         if (end != order_end::done && end != order_end::gone)
             continue;
         hold.ended = true;
--- a/tests/balancer_tests.cpp
+++ b/tests/balancer_tests.cpp
@@ -20,7 +20,7 @@
 {
     assignment made;
     for (const auto& move : moves)
-        made.give(move.keys, move.to, 1);
+        made.give(move.keys, move.to, 1, {});
     made.settle([](const owned_range&) { return true; });
     return made;
 }
@@ -51,7 +51,7 @@
 {
     const auto targets = make_targets({20, 20, 60});
     auto made = assigned(spread_evenly(targets));
-    made.give({100, 100}, targets[0].life, 2);
+    made.give({100, 100}, targets[0].life, 2, {});
     made.settle([](const owned_range&) { return true; });
     key_load load;
     load.add(100, 40);
@@ -81,7 +81,7 @@
     CHECK(moves.size() == 20);
     auto next = made;
     for (const auto& move : moves)
-        next.give(move.keys, move.to, 2);
+        next.give(move.keys, move.to, 2, {});
     for (const auto& target : targets)
         if (target.life.id != made.ranges().front().owner.id)
             CHECK(rate_of(next, target.life.id, load) <= 0.7 * target.capacity);
@@ -99,7 +99,7 @@
     CHECK(rate_of(made, "t0", load) > 50);
     auto planned = made;
     for (const auto& move : level_load(made, targets, load, {}))
-        planned.give(move.keys, move.to, 2);
+        planned.give(move.keys, move.to, 2, {});
     CHECK(rate_of(planned, "t0", load) < 30);
 }
 
@@ -111,7 +111,7 @@
     auto planned = made;
     const auto gone = [](const owned_range& range) { return range.owner.id == "t0"; };
     for (const auto& move : place_vacated(made, left, key_load{}, gone))
-        planned.give(move.keys, move.to, 2);
+        planned.give(move.keys, move.to, 2, {});
     for (const auto& range : planned.ranges())
         CHECK(range.owner.id != "t0");
 }
@@ -124,7 +124,7 @@
         std::vector<int> owners(std::size_t{last_key} + 1, -1);
         for (const auto& [one, other, owner] : gifts) {
             const key_range keys{std::min(one, other), std::max(one, other)};
-            made.give(keys, {"t" + std::to_string(owner), 0, "10.0.0.1:80"}, ++fence);
+            made.give(keys, {"t" + std::to_string(owner), 0, "10.0.0.1:80"}, ++fence, {});
             std::fill(owners.begin() + keys.first, owners.begin() + keys.last + 1, owner);
         }
         std::uint32_t next = 0;
@@ -149,7 +149,7 @@
     ownership_log log;
     const auto now = time_point{std::chrono::hours{1}};
     assignment made;
-    made.give({0, last_key}, {"t1", 0, "10.0.0.1:80"}, 1);
+    made.give({0, last_key}, {"t1", 0, "10.0.0.1:80"}, 1, {});
     CHECK(!log.apply(now, "service/a", encode(made), 0));
     const std::string targets = R"({"targets":[["a",0,"b"]],"ranges":)";
     for (const auto& bad :
--- a/tests/peer_feed_tests.cpp
+++ b/tests/peer_feed_tests.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <list>
 
 using namespace teaseltally;
 using namespace teaseltally::test;
@@ -36,6 +37,34 @@
     http_server server;
 };
 
+/// Starts an instance behind others.
+/// @param ahead names and capacities of the others.
+/// @returns the one that it asks first.
+std::string first_asked(unsigned capacity, const std::vector<std::pair<std::string, unsigned>>& ahead)
+{
+    asio::io_context io(1);
+    std::string asked;
+    std::list<http_server> servers;
+    std::vector<feed_member> members;
+    for (const auto& [name, size] : ahead) {
+        servers.emplace_back(io.get_executor(), any_port, http_server_limits{},
+                             [&, as = name](http_request) -> asio::awaitable<http_response> {
+                                 asked = as;
+                                 io.stop();
+                                 co_return make_response(200, "");
+                             });
+        members.push_back(member(name, servers.back().local(), size));
+    }
+    peer_feed::streams known;
+    http_client client(io.get_executor(), {});
+    peer_feed feed(io.get_executor(), client, {"x", "a", "", capacity}, known,
+                   [](stream_kind, const stream_delta&) {});
+    feed.set_members(members);
+    asio::co_spawn(io, feed.run(), asio::detached);
+    io.run();
+    return asked;
+}
+
 } // namespace
 
 TEST_CASE("an instance learns from another what it lacks")
@@ -76,7 +105,6 @@
         io.stop();
         return second.feed.answer(std::move(request));
     });
-    feed.assume_followed();
     feed.set_members({member("a", nobody), member("b", watched.local())});
     asio::co_spawn(io, feed.run(), asio::detached);
     io.run();
@@ -85,58 +113,67 @@
 }
 
 TEST_CASE("a larger instance is followed before a smaller one")
+{
+    CHECK(first_asked(100, {{"a", 100}, {"z", 500}}) == "z");
+    CHECK(first_asked(100, {{"a", 100}, {"b", 100}}) == "a");
+    CHECK(precedes({"a", "a", "", 2}, {"b", "a", "", 2}));
+    CHECK(!precedes({"a", "a", "", 1}, {"b", "a", "", 2}));
+}
+
+TEST_CASE("one instance is followed by a bounded number of others")
+{
+    std::vector<std::pair<std::string, unsigned>> ahead;
+    while (ahead.size() < peer_feed::fan_out)
+        ahead.emplace_back("n" + std::to_string(100 + ahead.size()), 0);
+    CHECK(first_asked(0, ahead) == "n100");
+    ahead.emplace_back("n" + std::to_string(100 + ahead.size()), 0);
+    CHECK(first_asked(0, ahead) == "n101");
+}
+
+TEST_CASE("nobody reads the store before it has looked for others")
 {
     asio::io_context io(1);
-    std::string asked;
-    const auto watch = [&](const char* name) {
-        return [&, name](http_request) -> asio::awaitable<http_response> {
-            asked = name;
-            io.stop();
-            co_return make_response(200, "");
-        };
-    };
-    http_server small(io.get_executor(), any_port, {}, watch("small"));
-    http_server large(io.get_executor(), any_port, {}, watch("large"));
     peer_feed::streams known;
     http_client client(io.get_executor(), {});
-    peer_feed feed(io.get_executor(), client, {"c", "a", "", 100}, known,
-                   [](stream_kind, const stream_delta&) {});
-    feed.set_members({member("a", small.local(), 100), member("z", large.local(), 500)});
+    peer_feed feed(io.get_executor(), client, {"c", "a", ""}, known, [](stream_kind, const stream_delta&) {});
+    CHECK(!feed.started());
+    CHECK(!feed.reads_store());
     asio::co_spawn(io, feed.run(), asio::detached);
-    io.run();
-    CHECK(asked == "large");
-    CHECK(precedes({"a", "a", "", 2}, {"b", "a", "", 2}));
-    CHECK(!precedes({"a", "a", "", 1}, {"b", "a", "", 2}));
+    io.poll();
+    CHECK(feed.started());
+    CHECK(feed.reads_store());
 }
 
-TEST_CASE("one instance is followed by a bounded number of others")
+TEST_CASE("reports go to an instance ahead, not to one that is followed for lack of the store")
 {
-    const auto asked_behind = [](std::size_t ahead) {
+    const auto followed = [](const char* name) {
         asio::io_context io(1);
-        std::string asked;
-        const auto watch = [&](const char* name) {
-            return [&, name](http_request) -> asio::awaitable<http_response> {
-                asked = name;
-                io.stop();
-                co_return make_response(200, "");
-            };
-        };
-        http_server first(io.get_executor(), any_port, {}, watch("first"));
-        http_server second(io.get_executor(), any_port, {}, watch("second"));
-        std::vector<feed_member> members{member("a0", first.local()), member("a1", second.local())};
-        while (members.size() < ahead)
-            members.push_back(member("b" + std::to_string(members.size()), first.local()));
+        feeding_instance other(io);
         peer_feed::streams known;
         http_client client(io.get_executor(), {});
-        peer_feed feed(io.get_executor(), client, {"z", "a", ""}, known,
-                       [](stream_kind, const stream_delta&) {});
-        feed.set_members(members);
+        peer_feed feed(io.get_executor(), client, {"m", "a", ""}, known,
+                       [&](stream_kind kind, const stream_delta& delta) {
+                           auto& stream = known[static_cast<std::size_t>(kind)];
+                           stream.take_snapshot(delta.records, delta.next);
+                           stream.caught_up(boot_clock::now(), delta.next);
+                       });
+        std::optional<std::string> found;
+        int questions = 0;
+        http_server server(io.get_executor(), any_port, {},
+                           [&](http_request request) -> asio::awaitable<http_response> {
+                               if (++questions == 1)
+                                   co_return co_await other.feed.answer(std::move(request));
+                               found = feed.followed();
+                               io.stop();
+                               co_return make_response(200, "");
+                           });
+        feed.set_members({member(name, server.local())});
         asio::co_spawn(io, feed.run(), asio::detached);
         io.run();
-        return asked;
+        return found.has_value();
     };
-    CHECK(asked_behind(peer_feed::fan_out) == "first");
-    CHECK(asked_behind(peer_feed::fan_out + 1) == "second");
+    CHECK(followed("a"));
+    CHECK(!followed("z"));
 }
 
 TEST_CASE("an instance that does not know every stream yet lets others wait for it")
--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -27,6 +27,41 @@
     CHECK(world.held_share() == 1.0);
 }
 
+/// One coordinator whose appends succeed and whose targets answer as told.
+struct lone_coordinator {
+    explicit lone_coordinator(unsigned targets)
+    {
+        for (unsigned index = 1; index <= targets; ++index)
+            directory.update({"t" + std::to_string(index), "ledger", "10.0.0.1:80", "a", 4, false, {}, 0, 1},
+                             1);
+    }
+
+    void step(milliseconds elapsed, order_end end)
+    {
+        now += elapsed;
+        for (auto& action : manager.tick(now, {log, directory, keyed, now, true})) {
+            if (const auto* append = std::get_if<append_order>(&action)) {
+                for (const auto& record : append->records)
+                    log.apply(now, record.key, record.value, log.position());
+                manager.appended(now, append_end::done);
+            }
+            else if (const auto* grant = std::get_if<grant_order>(&action)) {
+                grants.push_back(*grant);
+                manager.ordered(now, grant->id, end, {});
+            }
+            else
+                manager.ordered(now, std::get<release_order>(action).id, end, {});
+        }
+    }
+
+    range_manager manager{{"n1", 1, "10.1.0.1:1"}, {}, milliseconds{0}};
+    ownership_log log;
+    target_directory directory;
+    std::vector<std::string> keyed{"ledger"};
+    std::vector<grant_order> grants;
+    time_point now{std::chrono::hours{1}};
+};
+
 std::vector<fault_case> fault_table()
 {
     std::vector<fault_case> table;
@@ -145,12 +180,37 @@
     CHECK(log.elapsed(start + milliseconds{5000}) > milliseconds{20'800});
 }
 
+TEST_CASE("an owner that lost a range twice is former since the second time")
+{
+    const auto owner = [](const char* id) { return target_life{id, 0, "10.0.0.1:80"}; };
+    assignment moved;
+    moved.give({0, 9}, owner("a"), 1, milliseconds{0});
+    moved.give({10, 19}, owner("a"), 2, milliseconds{0});
+    moved.give({0, 9}, owner("b"), 3, milliseconds{1000});
+    moved.give({10, 19}, owner("b"), 4, milliseconds{8000});
+    // One range from two whose former owner lost them at different times.
+    moved.give({0, 19}, owner("c"), 5, milliseconds{9000});
+    const auto* range = moved.find(5);
+    REQUIRE(range != nullptr);
+    const std::vector<former_owner> expected{{owner("b"), milliseconds{9000}},
+                                             {owner("a"), milliseconds{8000}}};
+    CHECK(range->former == expected);
+}
+
+TEST_CASE("a claim is refused without a time of the log or with one that is negative")
+{
+    const std::string claim = R"({"instance":"n1","session":1,"address":"10.1.0.1:1")";
+    CHECK(failure(decode_claim(claim + R"(,"elapsed":0})")) == nullptr);
+    CHECK(failure(decode_claim(claim + "}")) != nullptr);
+    CHECK(failure(decode_claim(claim + R"(,"elapsed":-1})")) != nullptr);
+}
+
 TEST_CASE("assignments with malformed rows are refused")
 {
     const std::string targets = R"("targets":[["a",0,"x:1"]])";
     CHECK(failure(decode_assignment("{" + targets + R"(,"ranges":[[0,9,1,0,0,500]]})")) == nullptr);
     for (const char* row : {"[0,9,1]", "[0,9,1,1]", "[0,9,1,0,0]", "[0,9,1,0,1,500]", R"([0,9,1,0,0,"x"])",
-                            "[9,0,1,0]", "[0,65536,1,0]", "[0,9,-1,0]"}) {
+                            "[0,9,1,0,0,-5]", "[9,0,1,0]", "[0,65536,1,0]", "[0,9,-1,0]"}) {
         CAPTURE(std::string{row});
         CHECK(failure(decode_assignment("{" + targets + ",\"ranges\":[" + row + "]}")) != nullptr);
     }
@@ -181,36 +241,42 @@
 
 TEST_CASE("a target that has seen a higher fence gets its keys under a new one")
 {
-    const auto start = time_point{std::chrono::hours{1}};
-    range_manager manager({"n1", 1, "10.1.0.1:1"}, {}, milliseconds{0});
-    ownership_log log;
-    target_directory directory;
-    directory.update({"t1", "ledger", "10.0.0.1:80", "a", 4, false, {}, 0, 1}, 1);
-    const std::vector<std::string> keyed{"ledger"};
-    std::vector<grant_order> grants;
-    auto now = start;
-    const auto step = [&](order_end end) {
-        now += milliseconds{400};
-        for (auto& action : manager.tick(now, {log, directory, keyed, now, true})) {
-            if (const auto* append = std::get_if<append_order>(&action)) {
-                for (const auto& record : append->records)
-                    log.apply(now, record.key, record.value, log.position());
-                manager.appended(now, append_end::done);
-            }
-            else if (const auto* grant = std::get_if<grant_order>(&action)) {
-                grants.push_back(*grant);
-                manager.ordered(now, grant->id, end, {});
-            }
-        }
-    };
-    while (grants.empty())
-        step(order_end::conflict);
-    const auto refused = grants.front().fence;
-    grants.clear();
+    lone_coordinator lone(1);
+    while (lone.grants.empty())
+        lone.step(milliseconds{400}, order_end::conflict);
+    const auto refused = lone.grants.front().fence;
+    lone.grants.clear();
     for (int count = 0; count < 5; ++count)
-        step(order_end::done);
-    REQUIRE(!grants.empty());
-    CHECK(grants.back().fence > refused);
+        lone.step(milliseconds{400}, order_end::done);
+    REQUIRE(!lone.grants.empty());
+    CHECK(lone.grants.back().fence > refused);
+}
+
+TEST_CASE("loads of a few requests a second are levelled, by the longer average")
+{
+    lone_coordinator lone(2);
+    while (lone.grants.empty())
+        lone.step(milliseconds{100}, order_end::done);
+    // Four slots and 680 ms: a target answers 5.9 requests a second.
+    for (const char* target : {"t1", "t2"})
+        lone.manager.note_speed(target, {10, 0, 10, microseconds{6'800'000}});
+    const auto& ranges = lone.log.find("ledger")->ranges();
+    const auto busy = ranges.front();
+    constexpr key_number keys = 10;
+    const auto moved = [&] {
+        for (key_number key = 0; key < keys; ++key)
+            if (lone.log.find("ledger")->find(busy.keys.first + key)->owner.id != busy.owner.id)
+                return true;
+        return false;
+    };
+    // Five requests a second on one target are not certain to be too many within one second.
+    for (int count = 0; count < 200 && !moved(); ++count) {
+        lone.manager.note_load("ledger", static_cast<key_number>(busy.keys.first + count % keys), 0.5);
+        lone.step(milliseconds{100}, order_end::done);
+        if (count < 5)
+            CHECK(!moved());
+    }
+    CHECK(moved());
 }
 
 TEST_CASE("a coordinator that denies to be one is replaced at once")
