Log each attempt that got no valid answer, with a fingerprint of the request

What was missing: the line "request" names the last cause and the last target of one attempt of a caller.

Change: a line "attempt_lost" for each send whose outcome is unknown, with target, reason and a fingerprint of caller, host, method, path and body. The line "request" carries the fingerprint too. No decision depends on it.

The new test fails without the line (no attempt_lost in the log).

--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -57,14 +57,18 @@
 class routed_request {
 public:
     /// @param caller_request request as received from the caller.
+    /// @param caller_address IP address of the caller.
     /// @param arrival time when the request was received.
-    routed_request(const asio::any_io_executor& executor, http_request caller_request, time_point arrival)
-        : message(std::move(caller_request)), received_at(arrival), wake(executor)
+    routed_request(const asio::any_io_executor& executor, http_request caller_request,
+                   const asio::ip::address& caller_address, time_point arrival)
+        : message(std::move(caller_request)), caller(caller_address), received_at(arrival), wake(executor)
     {
     }
 
     /// Request as received from the caller.
     http_request message;
+    /// IP address of the caller.
+    asio::ip::address caller;
     /// Time when the request was received.
     time_point received_at;
     /// Wakes the coroutine that routes the request.
@@ -76,6 +80,8 @@
 
     /// Value of the request id header.
     std::string id;
+    /// Identifies requests of one caller with equal content (see `fingerprint_of`).
+    std::uint64_t fingerprint = 0;
     /// Routing configuration that applies to the request; owns `matched_route`.
     std::shared_ptr<const route_table> table;
     /// Route of the request; null until it is found.
@@ -108,7 +114,8 @@
     using log_sink = std::function<void(const std::string&)>;
 
     /// Creates a router that answers every request with status 503 until a configuration is applied.
-    /// @param log writes one line for each request that fails and for every 64th that succeeds.
+    /// @param log writes one line for each request that fails, for every 64th that succeeds and for each
+    /// attempt whose outcome is unknown.
     request_router(asio::any_io_executor executor, router_settings settings, log_sink log);
 
     /// Applies a routing configuration if its version is higher than the current one.
@@ -181,6 +188,7 @@
                                                                            const target_node& target) const;
     void record_speed_sample(const routed_attempt& attempt, microseconds service_time);
     void record_attempt_end(const routed_request& request, routed_attempt& attempt);
+    void log_lost_attempt(const routed_request& request, const routed_attempt& attempt) const;
     [[nodiscard]] std::optional<http_response> handle_result(routed_request& request,
                                                              routed_attempt& attempt);
     [[nodiscard]] asio::awaitable<std::optional<http_response>>
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -239,7 +239,10 @@
     const bool is_head = parser.get().method() == http::verb::head;
     const unsigned version = parser.get().version();
     caller->stream.expires_never();
-    auto request = std::make_shared<routed_request>(executor, parser.release(), boot_clock::now());
+    error_code address_ec;
+    const auto caller_address = caller->stream.socket().remote_endpoint(address_ec).address();
+    auto request =
+        std::make_shared<routed_request>(executor, parser.release(), caller_address, boot_clock::now());
     std::optional<http_response> response;
     {
         std::optional<disconnect_monitor> monitor;
--- a/src/net/request_attempts.cpp
+++ b/src/net/request_attempts.cpp
@@ -1,3 +1,4 @@
+#include <teaseltally/log_line.hpp>
 #include <teaseltally/net/request_router.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -147,11 +148,26 @@
     case exchange_status::outcome_unknown:
         if (!result.stale_connection && !request.caller_disconnected)
             load.on_failure(now);
+        log_lost_attempt(request, attempt);
         break;
     }
     wake_waiting(state);
 }
 
+void request_router::log_lost_attempt(const routed_request& request, const routed_attempt& attempt) const
+{
+    log_(log_line("attempt_lost")
+             .add("id", request.id)
+             .add("fingerprint", request.fingerprint)
+             .add("caller", request.caller.to_string())
+             .add("target", attempt.target->entry().id)
+             .add("reason", attempt.result.reason)
+             .add("sends", request.sends)
+             .add("took_ms",
+                  std::chrono::duration_cast<milliseconds>(attempt.ended_at - attempt.started).count())
+             .text());
+}
+
 std::optional<http_response> request_router::handle_result(routed_request& request, routed_attempt& attempt)
 {
     attempt.handled = true;
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -1,6 +1,7 @@
 #include <teaseltally/net/request_router.hpp>
 
 #include <teaseltally/log_line.hpp>
+#include <teaseltally/request_policy.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -178,6 +179,9 @@
     request.id = std::string{message[settings_.headers.request_id]};
     if (request.id.empty())
         return make_refusal(400, settings_.headers.request_id + " header is missing");
+    request.fingerprint = fingerprint_of(request.caller.to_string(), {host.data(), host.size()},
+                                         {message.method_string().data(), message.method_string().size()},
+                                         target, message.body());
     auto time_limit = request.matched_route->timeout;
     if (const auto remaining = parse_number<std::int64_t>(message[settings_.headers.deadline_ms]);
         remaining && *remaining >= 0)
@@ -368,6 +372,7 @@
             std::chrono::duration_cast<milliseconds>(boot_clock::now() - request->received_at);
         log_(log_line("request")
                  .add("id", request->id)
+                 .add("fingerprint", request->fingerprint)
                  .add("service", request->service)
                  .add("status", status)
                  .add("cause", request->cause)
--- a/tests/target_exchange_tests.cpp
+++ b/tests/target_exchange_tests.cpp
@@ -105,7 +105,8 @@
 /// A router and its caller server, with one route to one service of scripted targets.
 struct router_fixture {
     explicit router_fixture(execution_semantics semantics, double retry_burst = 1000)
-        : router(io.get_executor(), {"a", 0.2, retry_burst, {}}, [](const std::string&) {}),
+        : router(io.get_executor(), {"a", 0.2, retry_burst, {}},
+                 [this](const std::string& line) { log_lines.push_back(line); }),
           callers(io.get_executor(), any_port, 100, router)
     {
         routing_configuration configured;
@@ -158,6 +159,7 @@
     }
 
     asio::io_context io{1};
+    std::vector<std::string> log_lines;
     request_router router;
     caller_server callers;
     std::vector<std::unique_ptr<scripted_target>> targets;
@@ -270,6 +272,26 @@
     CHECK(fixture.requests() == 2);
 }
 
+TEST_CASE("each attempt with an unknown outcome is logged with the fingerprint that equal requests share")
+{
+    router_fixture fixture(execution_semantics::at_most_once);
+    auto& target = fixture.add_target();
+    for (const char* id : {"first", "second"}) {
+        target.enqueue_response("", true);
+        CHECK(fixture.send_request(id).result_int() == 502);
+    }
+    std::vector<std::string> fingerprints;
+    for (const auto& line : fixture.log_lines)
+        if (line.starts_with("event=attempt_lost")) {
+            CHECK(line.find("target=i" + std::to_string(target.local_endpoint().port())) !=
+                  std::string::npos);
+            const auto begin = line.find("fingerprint=");
+            fingerprints.push_back(line.substr(begin, line.find(' ', begin) - begin));
+        }
+    REQUIRE(fingerprints.size() == 2);
+    CHECK(fingerprints[0] == fingerprints[1]);
+}
+
 TEST_CASE("a request that no target executed is answered with status 503 and retry-after")
 {
     router_fixture fixture(execution_semantics::at_most_once);
@@ -309,8 +331,8 @@
     std::optional<http_response> response;
     run(io, [&]() -> asio::awaitable<void> {
         auto message = make_request(http::verb::get, "/");
-        auto request =
-            std::make_shared<routed_request>(io.get_executor(), std::move(message), boot_clock::now());
+        auto request = std::make_shared<routed_request>(io.get_executor(), std::move(message),
+                                                        asio::ip::address{}, boot_clock::now());
         response = co_await empty.serve(request);
     });
     REQUIRE(response);
