--- /dev/null
+++ b/tests/support/fake_target.cpp
@@ -0,0 +1,173 @@
+#include "support/fake_target.hpp"
+
+#include "support/run.hpp"
+
+#include <teaseltally/json.hpp>
+
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace teaseltally::test {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr auto registrations_topic = "keyed.servers";
+constexpr unsigned slots = 8;
+constexpr std::int64_t first_start_unix_ms = 1'000'000;
+
+} // namespace
+
+struct fake_target::connection {
+    explicit connection(asio::ip::tcp::socket accepted) : socket(std::move(accepted)) {}
+    void reset()
+    {
+        boost::system::error_code ignored;
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+    asio::ip::tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+};
+
+fake_target::fake_target(asio::io_context& io, fake_store& store, std::string service,
+                         std::string data_centre, target_behaviour behaviour, std::vector<target_run>& runs)
+    : io_(io), store_(store), service_(std::move(service)), data_centre_(std::move(data_centre)),
+      behaviour_(behaviour), runs_(runs), acceptor_(io)
+{
+    start_incarnation();
+}
+
+void fake_target::start_incarnation()
+{
+    const tcp_endpoint wanted = ends_ == 0 ? any_port : endpoint_;
+    acceptor_.open(wanted.protocol());
+    acceptor_.set_option(asio::socket_base::reuse_address(true));
+    acceptor_.bind(wanted);
+    acceptor_.listen();
+    endpoint_ = acceptor_.local_endpoint();
+    id_ =
+        "t" + std::to_string(endpoint_.port()) + (behaviour_.keeps_id ? "" : "-" + std::to_string(ends_ + 1));
+    register_incarnation();
+    asio::co_spawn(io_, accept(ends_), asio::detached);
+}
+
+void fake_target::register_incarnation()
+{
+    Json::Value entry;
+    entry["address"] = "127.0.0.1:" + std::to_string(endpoint_.port());
+    entry["info"]["service"] = service_;
+    entry["info"]["version"] = "v1";
+    entry["info"]["zone"] = data_centre_;
+    entry["info"]["slots"] = slots;
+    entry["status"]["state"] = "ready";
+    entry["status"]["sequence"] = 1;
+    entry["status"]["cold-remaining"] = "0ms";
+    if (behaviour_.keeps_id)
+        entry["born"] = Json::Value{static_cast<Json::Int64>(first_start_unix_ms + ends_)};
+    store_.put(registrations_topic, id_, json_text(entry));
+}
+
+void fake_target::reset_connections()
+{
+    for (const auto& caller : std::exchange(connections_, {}))
+        caller->reset();
+}
+
+void fake_target::end()
+{
+    ++ends_;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    reset_connections();
+    held_keys_.reset();
+    asio::co_spawn(io_, restart(), asio::detached);
+}
+
+asio::awaitable<void> fake_target::restart()
+{
+    const auto ended_id = id_;
+    co_await sleep_for(std::min(behaviour_.restart_delay, behaviour_.expiry_delay));
+    if (behaviour_.restart_delay <= behaviour_.expiry_delay)
+        start_incarnation();
+    co_await sleep_for(std::chrono::abs(behaviour_.expiry_delay - behaviour_.restart_delay));
+    if (id_ != ended_id || !acceptor_.is_open())
+        store_.put(registrations_topic, ended_id, std::nullopt);
+    if (behaviour_.restart_delay > behaviour_.expiry_delay)
+        start_incarnation();
+}
+
+asio::awaitable<void> fake_target::accept(unsigned incarnation)
+{
+    while (incarnation == ends_) {
+        auto [failed, socket] = co_await acceptor_.async_accept(as_result);
+        if (failed)
+            co_return;
+        auto caller = std::make_shared<connection>(std::move(socket));
+        connections_.insert(caller);
+        asio::co_spawn(io_, serve(std::move(caller), incarnation), asio::detached);
+    }
+}
+
+asio::awaitable<void> fake_target::serve(std::shared_ptr<connection> caller, unsigned incarnation)
+{
+    while (incarnation == ends_) {
+        http::request_parser<http::string_body> parser;
+        const auto [failed, size] =
+            co_await http::async_read(caller->socket, caller->buffer, parser, as_result);
+        if (failed)
+            break;
+        auto request = parser.release();
+        http_response response;
+        if (request.target().starts_with("/api/"))
+            response = handle_order(request);
+        else
+            response = co_await execute(std::move(request), incarnation);
+        if (incarnation != ends_)
+            break;
+        response.prepare_payload();
+        const auto [write_failed, written] = co_await http::async_write(caller->socket, response, as_result);
+        if (write_failed)
+            break;
+    }
+    connections_.erase(caller);
+}
+
+http_response fake_target::handle_order(const http_request& request)
+{
+    const auto parsed = parse_json(request.body(), "order");
+    const auto* order = std::get_if<Json::Value>(&parsed);
+    if (order == nullptr || !order->isObject())
+        return make_response(400, "malformed\n");
+    for (auto key = (*order)["from"].asUInt(); key <= (*order)["target"].asUInt(); ++key)
+        held_keys_.set(key, request.target() == "/api/grant");
+    auto response = make_response(200, "");
+    response.set("X-Instance-Id", id_);
+    return response;
+}
+
+asio::awaitable<http_response> fake_target::execute(http_request request, unsigned incarnation)
+{
+    const std::string id{request["X-Request-Id"]};
+    auto response = make_response(200, "done\n");
+    response.set("X-Request-Id", id);
+    response.set("X-Instance-Id", id_);
+    const auto key = request["X-Shard-Key"];
+    const bool misses_key = !key.empty() && !held_keys_.test(std::stoul(std::string{key}));
+    if (request["X-Expected-Instance"] != id_ || misses_key) {
+        response.result(http::status::misdirected_request);
+        response.set("X-Not-Executed", "1");
+        co_return response;
+    }
+    const bool lethal = request.find("X-Lethal") != request.end();
+    runs_.push_back({id_, id, std::string{request.target()}, lethal, boot_clock::now()});
+    co_await sleep_for(lethal ? behaviour_.time_to_end : behaviour_.service_time);
+    if (lethal && incarnation == ends_)
+        end();
+    response.set("X-Server-Signature", "signed");
+    co_return response;
+}
+
+} // namespace teaseltally::test
--- /dev/null
+++ b/tests/support/front_process.cpp
@@ -0,0 +1,93 @@
+#include "support/front_process.hpp"
+
+#include "support/run.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/wait.h>
+
+namespace teaseltally::test {
+namespace {
+
+std::string text_of(const tcp_endpoint& endpoint)
+{
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+} // namespace
+
+front_process::front_process(std::filesystem::path folder, std::string name, const std::string& data_centre,
+                             const tcp_endpoint& store)
+    : folder_(std::move(folder)), name_(std::move(name))
+{
+    // Listeners that are open at the same time get different free ports.
+    asio::io_context io;
+    const asio::ip::tcp::acceptor callers(io, any_port);
+    const asio::ip::tcp::acceptor readiness(io, any_port);
+    const asio::ip::tcp::acceptor peers(io, any_port);
+    callers_ = callers.local_endpoint();
+    readiness_ = readiness.local_endpoint();
+    std::ofstream settings(folder_ / (name_ + ".ini"));
+    settings << "[instance]\nname = " << name_ << "\ndata_centre = " << data_centre
+             << "\ncaller_address = " << text_of(callers_) << "\nready_address = " << text_of(readiness_)
+             << "\npeer_address = " << text_of(peers.local_endpoint())
+             << "\n[platform]\naddress = " << text_of(store) << "\n";
+}
+
+front_process::~front_process()
+{
+    kill();
+}
+
+void front_process::start()
+{
+    const std::string settings = (folder_ / (name_ + ".ini")).string();
+    const std::string output = (folder_ / (name_ + ".log")).string();
+    posix_spawn_file_actions_t files{};
+    posix_spawn_file_actions_init(&files);
+    constexpr mode_t mode = 0644;
+    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, output.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                     mode);
+    posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    // The sockets of this process must not stay open in the instance when they are closed here.
+    posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
+    std::string program = TEASELTALLY_FRONT;
+    std::string option = "--config=" + settings;
+    std::array<char*, 3> arguments{program.data(), option.data(), nullptr};
+    const int failed = posix_spawn(&process_, program.c_str(), &files, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&files);
+    if (failed != 0)
+        throw std::runtime_error("cannot start " + program);
+}
+
+void front_process::signal(int number) const
+{
+    if (process_ > 0)
+        ::kill(process_, number);
+}
+
+void front_process::kill()
+{
+    if (process_ <= 0)
+        return;
+    signal(SIGKILL);
+    ::waitpid(process_, nullptr, 0);
+    process_ = -1;
+}
+
+std::string front_process::output() const
+{
+    const std::ifstream file(folder_ / (name_ + ".log"));
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace teaseltally::test
