Sleep while a further hedged attempt is due but cannot start

What callers saw: while a request waits for two attempts that do not end, its instance uses the whole processor until the deadline, and everything else on it is late.

Cause: run_attempts slept until hedge_at also when that was in the past and no further attempt could start, so the sleep ended at once.

Evidence: the new test counts the handlers that run while two attempts hang for 2.5 s: 192842 before, fewer than 400 after. It failed before the change.

Change: a due hedge is checked again at the recheck interval, as for requests that wait for a target.

--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -349,10 +349,9 @@
                 enqueue(*request, state);
             }
         }
-        const auto until = running ? std::min(request->deadline, hedge_at) : request->deadline;
-        const auto pause = running && now < hedge_at ? until : std::min(until, now + recheck_interval);
-        static_cast<void>(co_await request->wake.wait_until(
-            request->key ? std::min(pause, now + recheck_interval) : pause));
+        const auto recheck_at = now + recheck_interval;
+        const auto next_start = running && !request->key && now < hedge_at ? hedge_at : recheck_at;
+        static_cast<void>(co_await request->wake.wait_until(std::min(request->deadline, next_start)));
     }
 }
 
--- a/tests/target_exchange_tests.cpp
+++ b/tests/target_exchange_tests.cpp
@@ -292,6 +292,33 @@
     CHECK(fingerprints[0] == fingerprints[1]);
 }
 
+// Guards against a busy loop from the time when a further hedged attempt would be due until the deadline.
+TEST_CASE("a request whose attempts do not end wakes the process only at intervals")
+{
+    router_fixture fixture(execution_semantics::idempotent);
+    for (int index = 0; index < 2; ++index)
+        fixture.add_target();
+    http_client client(fixture.io.get_executor(), {});
+    bool answered = false;
+    auto exchange = [&]() -> asio::awaitable<void> {
+        auto request = make_request(http::verb::get, "/x");
+        request.set(http::field::host, "h.example");
+        request.set("tt-request-id", "q");
+        request.set("tt-deadline-ms", "2500");
+        auto outcome =
+            co_await client.exchange(fixture.callers.local_endpoint(), std::move(request), hang_deadline());
+        CHECK(std::get<http_response>(outcome).result_int() == 504);
+        answered = true;
+    };
+    asio::co_spawn(fixture.io, std::move(exchange), asio::detached);
+    std::size_t handlers = 0;
+    while (!answered)
+        handlers += fixture.io.run_one();
+    CHECK(fixture.requests() == 2);
+    // The deadline is 50 intervals of 50 ms away, and each wakes two or three handlers.
+    CHECK(handlers < 400);
+}
+
 TEST_CASE("a request that no target executed is answered with status 503 and retry-after")
 {
     router_fixture fixture(execution_semantics::at_most_once);
