Refuse a request under which three targets have ended, on every instance

What callers saw: a request that ends the targets that run it was sent to up to max_attempts of them whenever it returned, at any instance. Those who ran beside it lost their requests each time.

Cause: the new core bounds what one attempt of a caller may do and remembers nothing beyond it.

Change: crash_quarantine counts the target incarnations that ended while they ran requests with a fingerprint. A lost attempt is evidence only once its target is known to have ended, and a later response of the target or a completed request withdraws it. Reports are records of a fifth stream, so that instances share them, have them after a restart and see the same; an instance that can't append sends them to the others. A quarantined request gets 503 with the time until its quarantine ends; before that, with two ends, it is sent to one target per attempt of a caller.

The test of malformed feed messages takes one element more since there is one stream more; an instance of the earlier version, which sends four positions, is still answered (new test).

--- /dev/null
+++ b/include/teaseltally/admission/crash_quarantine.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <teaseltally/types.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// @file
+/// Recognises requests that crash the targets that run them.
+
+namespace teaseltally {
+
+/// Limits of the quarantine.
+struct crash_quarantine_settings {
+    /// Number of crashed targets from which a request is quarantined, at least 1.
+    unsigned crashes = 3;
+    /// Time for which a crash is remembered after it was last reported.
+    milliseconds lifetime{600'000};
+};
+
+/// Record of a crash that is shared with other instances.
+struct crash_record {
+    /// Key: the crashed target incarnation and the instance that reported it.
+    std::string key;
+    /// Encoded list of fingerprints; nothing if the record was withdrawn.
+    std::optional<std::string> value;
+};
+
+/// Counts, for each request fingerprint, the target incarnations that ended while they ran a request with
+/// this fingerprint. Each incarnation counts once, however many instances report it.
+///
+/// A request that was on a target when it ended is not necessarily the cause. Two observations withdraw a
+/// report: the target answers a request that was sent later, so it has not ended; or a target completes a
+/// request with the fingerprint, so the request does not crash targets.
+class crash_quarantine {
+public:
+    /// @param instance identifier of this instance; part of the keys of its records.
+    crash_quarantine(std::string instance, crash_quarantine_settings settings);
+
+    /// Records that an attempt ended without a response of the target.
+    void on_attempt_lost(const std::string& incarnation, std::uint64_t fingerprint, time_point now);
+    /// Records that a target incarnation has ended. Attempts lost on it shortly before become a report.
+    /// @returns whether there is a report.
+    bool on_target_ended(const std::string& incarnation, time_point now);
+    /// Records that a target has executed a request with the fingerprint and responded.
+    void on_request_completed(std::uint64_t fingerprint);
+    /// Records that a target incarnation has responded to a request.
+    /// @param sent_at time when the request was sent; attempts lost and ends reported before are withdrawn.
+    void on_target_alive(const std::string& incarnation, time_point sent_at);
+    /// Returns whether attempts were lost on a target incarnation since its last response.
+    [[nodiscard]] bool has_lost_attempts(const std::string& incarnation) const;
+
+    /// Applies a record of any instance. A malformed value is ignored.
+    /// @returns whether the record was valid.
+    bool apply(const crash_record& record, time_point now);
+    /// Removes the reports whose key is not among `keys`, except for changes that were not extracted yet.
+    void retain(const std::set<std::string, std::less<>>& keys, time_point now);
+    /// Removes and returns the records that this instance changed, with their current values.
+    [[nodiscard]] std::vector<crash_record> extract_changes();
+    /// Adds records to those that `extract_changes` returns, after they could not be shared.
+    void restore_changes(const std::vector<crash_record>& records);
+    /// Forgets lost attempts and reports that are too old.
+    /// @param withdraw whether the removal of old reports is to be shared.
+    void remove_expired(time_point now, bool withdraw);
+
+    /// Returns the number of target incarnations that ended while they ran a request with the fingerprint.
+    [[nodiscard]] unsigned crashes(std::uint64_t fingerprint) const;
+    /// Returns the number of crashes from which a request is quarantined.
+    [[nodiscard]] unsigned crash_limit() const noexcept { return settings_.crashes; }
+    /// Returns the time until enough crashes are forgotten for the fingerprint to be below the limit, zero if
+    /// it is not quarantined.
+    [[nodiscard]] milliseconds quarantine_time(std::uint64_t fingerprint, time_point now) const;
+
+private:
+    struct lost_attempt {
+        std::uint64_t fingerprint = 0;
+        time_point at{};
+    };
+    /// Fingerprints reported by one instance for one target incarnation.
+    struct report {
+        std::string incarnation;
+        std::set<std::uint64_t> fingerprints;
+        time_point reported_at{};
+    };
+
+    [[nodiscard]] std::vector<time_point> crash_times(std::uint64_t fingerprint) const;
+    /// Sets the fingerprints of a report; none removes it.
+    void set_report(const std::string& key, std::set<std::uint64_t> fingerprints, time_point now);
+
+    std::string instance_;
+    crash_quarantine_settings settings_;
+    std::map<std::string, std::vector<lost_attempt>, std::less<>> lost_attempts_;
+    std::map<std::string, report, std::less<>> reports_;
+    /// Keys of the reports that contain a fingerprint.
+    std::map<std::uint64_t, std::set<std::string>> keys_by_fingerprint_;
+    std::set<std::string> changed_keys_;
+};
+
+/// Encodes records for another instance as a JSON array of pairs of key and value.
+[[nodiscard]] std::string encode_crash_records(const std::vector<crash_record>& records);
+/// Decodes the result of `encode_crash_records`.
+/// @returns the records, or nothing if the text is malformed.
+[[nodiscard]] std::optional<std::vector<crash_record>> decode_crash_records(std::string_view text);
+
+/// Returns the name of one incarnation of a target.
+/// @param id identifier of the target.
+/// @param start_unix_ms start time of the target; distinguishes incarnations with the same identifier.
+[[nodiscard]] std::string incarnation_name(std::string_view id, std::int64_t start_unix_ms);
+
+} // namespace teaseltally
--- a/include/teaseltally/knowledge/record_stream.hpp
+++ b/include/teaseltally/knowledge/record_stream.hpp
@@ -18,9 +18,9 @@
 namespace teaseltally {
 
 /// Streams that every instance follows.
-enum class stream_kind { configuration, targets, ownership, members };
+enum class stream_kind { configuration, targets, ownership, members, crashes };
 /// Number of values of `stream_kind`.
-inline constexpr std::size_t stream_kind_count = 4;
+inline constexpr std::size_t stream_kind_count = 5;
 
 /// One record of a stream.
 struct stream_record {
--- a/include/teaseltally/net/http.hpp
+++ b/include/teaseltally/net/http.hpp
@@ -167,6 +167,9 @@
 [[nodiscard]] http_request make_request(boost::beast::http::verb verb, std::string_view target,
                                         std::string body = {});
 
+/// Formats a time in seconds with three decimals, as a value of the Retry-After header.
+[[nodiscard]] std::string format_seconds(milliseconds time);
+
 /// Suspends the coroutine for a duration. Returns at once if the duration is zero or negative.
 [[nodiscard]] asio::awaitable<void> sleep_for(microseconds duration);
 
--- a/include/teaseltally/net/peer_feed.hpp
+++ b/include/teaseltally/net/peer_feed.hpp
@@ -90,7 +90,8 @@
     /// Handles the request of another instance: waits up to 400 ms for updates that the other instance lacks,
     /// and returns them.
     /// @param request JSON array with one entry per stream: the next offset, null if the other instance has
-    /// no snapshot of the stream, or a string if the stream is not requested.
+    /// no snapshot of the stream, or a string if the stream is not requested. Streams without an entry are
+    /// not requested.
     /// @returns the updates, or a response with status 400 if the request is malformed.
     [[nodiscard]] asio::awaitable<http_response> handle_request(http_request request);
     /// Wakes the requests that wait for updates; called when a local stream has changed.
--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <teaseltally/admission/crash_quarantine.hpp>
 #include <teaseltally/admission/retry_token_bucket.hpp>
 #include <teaseltally/knowledge/traffic_report.hpp>
 #include <teaseltally/net/notifier.hpp>
@@ -13,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -131,6 +133,10 @@
     /// Sets the log from which the owners of keys are read.
     /// @param log ownership log; it outlives the router.
     void set_ownership(const ownership_log& log) { ownership_ = &log; }
+    /// Sets the quarantine, which receives the ends of targets and decides which requests are refused.
+    /// Without one, no request is refused because of crashes.
+    /// @param quarantine outlives the router.
+    void set_quarantine(crash_quarantine& quarantine) { quarantine_ = &quarantine; }
     /// Wakes the requests that wait for the owner of their key.
     void on_ownership_changed();
     /// Sets the number of instances that share the limits on retries and connections; zero counts as one.
@@ -189,6 +195,15 @@
     void record_speed_sample(const routed_attempt& attempt, microseconds service_time);
     void record_attempt_end(const routed_request& request, routed_attempt& attempt);
     void log_lost_attempt(const routed_request& request, const routed_attempt& attempt) const;
+    /// Passes what the end of an attempt says about its target and its request to the quarantine.
+    void record_crash_evidence(const routed_request& request, const routed_attempt& attempt);
+    void record_target_end(const target_node& target);
+    /// Finds out whether a target has ended after a connection to it was lost.
+    [[nodiscard]] asio::awaitable<void> probe_target(std::shared_ptr<target_node> target);
+    [[nodiscard]] bool is_quarantined(const routed_request& request) const;
+    /// Returns whether targets have crashed and one more crash would quarantine the request.
+    [[nodiscard]] bool is_last_crash_tolerated(const routed_request& request) const;
+    [[nodiscard]] http_response make_quarantine_response(routed_request& request) const;
     [[nodiscard]] std::optional<http_response> handle_result(routed_request& request,
                                                              routed_attempt& attempt);
     [[nodiscard]] asio::awaitable<std::optional<http_response>>
@@ -209,6 +224,9 @@
     std::map<std::string, std::shared_ptr<target_node>, std::less<>> targets_;
     std::map<std::string, service_state, std::less<>> services_;
     const ownership_log* ownership_ = nullptr;
+    crash_quarantine* quarantine_ = nullptr;
+    /// Incarnations of targets that are being probed.
+    std::set<std::string> probed_incarnations_;
     traffic_report traffic_;
     /// Current weight of each backend by route, for smooth weighted round robin.
     std::map<std::string, std::vector<double>, std::less<>> backend_credits_;
--- a/include/teaseltally/net/target_node.hpp
+++ b/include/teaseltally/net/target_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <teaseltally/admission/crash_quarantine.hpp>
 #include <teaseltally/admission/target_load.hpp>
 #include <teaseltally/knowledge/target_directory.hpp>
 #include <teaseltally/net/header_names.hpp>
@@ -45,6 +46,11 @@
     void update(target_entry entry, time_point now);
     /// Returns the load of the target as estimated by this instance.
     [[nodiscard]] target_load& load() noexcept { return load_; }
+    /// Returns the name of the target incarnation that is registered.
+    [[nodiscard]] std::string incarnation() const
+    {
+        return incarnation_name(entry_.id, entry_.start_unix_ms);
+    }
     /// Returns the address and port of the target.
     [[nodiscard]] const tcp_endpoint& endpoint() const noexcept { return endpoint_; }
 
@@ -84,6 +90,18 @@
     outcome_unknown,
 };
 
+/// How the connection to a target failed.
+enum class connection_failure {
+    /// It did not fail, or it was closed by this process.
+    none,
+    /// No process listens at the address.
+    refused,
+    /// It was closed or reset before the response was complete.
+    lost,
+    /// The response was not complete by the deadline.
+    timed_out,
+};
+
 /// Outcome of an exchange with a target.
 struct exchange_result {
     /// Result of the exchange.
@@ -92,6 +110,8 @@
     http_response response;
     /// Whether a connection to the target was established.
     bool connected = false;
+    /// How the connection failed.
+    connection_failure failure = connection_failure::none;
     /// Whether a reused connection failed before a byte of the response was received.
     bool stale_connection = false;
     /// Load that the target reported with its response.
--- a/include/teaseltally/teaseltally.hpp
+++ b/include/teaseltally/teaseltally.hpp
@@ -52,5 +52,6 @@
 
 #include <teaseltally/knowledge/traffic_report.hpp>
 
+#include <teaseltally/admission/crash_quarantine.hpp>
 #include <teaseltally/admission/retry_token_bucket.hpp>
 #include <teaseltally/admission/target_load.hpp>
--- /dev/null
+++ b/src/admission/crash_quarantine.cpp
@@ -0,0 +1,276 @@
+#include <teaseltally/admission/crash_quarantine.hpp>
+
+#include <teaseltally/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace teaseltally {
+namespace {
+
+/// Time for which a lost attempt may explain the end of its target. The store removes the registration of a
+/// crashed target after three heartbeats, at most about 5 s.
+constexpr milliseconds lost_attempt_lifetime{10'000};
+/// Maximum number of lost attempts that are kept per target; the oldest are dropped first.
+constexpr std::size_t max_lost_attempts = 64;
+/// Maximum number of reports; the oldest is dropped first.
+constexpr std::size_t max_reports = 1024;
+/// Separates the incarnation from the instance in the key of a record.
+constexpr char key_separator = '|';
+
+std::string incarnation_of(const std::string& key)
+{
+    return key.substr(0, key.rfind(key_separator));
+}
+
+std::string encode(const std::set<std::uint64_t>& fingerprints)
+{
+    Json::Value values(Json::arrayValue);
+    for (const auto fingerprint : fingerprints)
+        values.append(to_json(fingerprint));
+    return json_text(values);
+}
+
+std::optional<std::set<std::uint64_t>> decode(const std::string& text)
+{
+    const auto parsed = parse_json(text, "crash record");
+    const auto* values = std::get_if<Json::Value>(&parsed);
+    if (values == nullptr || !values->isArray())
+        return std::nullopt;
+    std::set<std::uint64_t> fingerprints;
+    for (const auto& value : *values) {
+        if (!value.isUInt64())
+            return std::nullopt;
+        fingerprints.insert(value.asUInt64());
+    }
+    return fingerprints;
+}
+
+} // namespace
+
+std::string encode_crash_records(const std::vector<crash_record>& records)
+{
+    Json::Value rows(Json::arrayValue);
+    for (const auto& record : records) {
+        Json::Value row(Json::arrayValue);
+        row.append(record.key);
+        row.append(record.value ? Json::Value{*record.value} : Json::Value{});
+        rows.append(row);
+    }
+    return json_text(rows);
+}
+
+std::optional<std::vector<crash_record>> decode_crash_records(std::string_view text)
+{
+    const auto parsed = parse_json(text, "crash records");
+    const auto* rows = std::get_if<Json::Value>(&parsed);
+    if (rows == nullptr || !rows->isArray())
+        return std::nullopt;
+    std::vector<crash_record> records;
+    for (const auto& row : *rows) {
+        if (!row.isArray() || row.size() != 2 || !row[0].isString() ||
+            !(row[1].isNull() || row[1].isString()))
+            return std::nullopt;
+        crash_record record{row[0].asString(), std::nullopt};
+        if (row[1].isString())
+            record.value = row[1].asString();
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+std::string incarnation_name(std::string_view id, std::int64_t start_unix_ms)
+{
+    return std::string{id} + "@" + std::to_string(start_unix_ms);
+}
+
+crash_quarantine::crash_quarantine(std::string instance, crash_quarantine_settings settings)
+    : instance_(std::move(instance)), settings_(settings)
+{
+}
+
+void crash_quarantine::on_attempt_lost(const std::string& incarnation, std::uint64_t fingerprint,
+                                       time_point now)
+{
+    auto& attempts = lost_attempts_[incarnation];
+    if (attempts.size() >= max_lost_attempts)
+        attempts.erase(attempts.begin());
+    attempts.push_back({fingerprint, now});
+}
+
+bool crash_quarantine::has_lost_attempts(const std::string& incarnation) const
+{
+    return lost_attempts_.contains(incarnation);
+}
+
+bool crash_quarantine::on_target_ended(const std::string& incarnation, time_point now)
+{
+    const auto found = lost_attempts_.find(incarnation);
+    if (found == lost_attempts_.end())
+        return false;
+    std::set<std::uint64_t> fingerprints;
+    for (const auto& attempt : found->second)
+        if (now - attempt.at < lost_attempt_lifetime)
+            fingerprints.insert(attempt.fingerprint);
+    lost_attempts_.erase(found);
+    if (fingerprints.empty())
+        return false;
+    const auto key = incarnation + key_separator + instance_;
+    if (const auto reported = reports_.find(key); reported != reports_.end())
+        fingerprints.insert(reported->second.fingerprints.begin(), reported->second.fingerprints.end());
+    set_report(key, std::move(fingerprints), now);
+    changed_keys_.insert(key);
+    return true;
+}
+
+void crash_quarantine::on_request_completed(std::uint64_t fingerprint)
+{
+    const auto found = keys_by_fingerprint_.find(fingerprint);
+    if (found == keys_by_fingerprint_.end())
+        return;
+    for (const auto& key : std::set(found->second)) {
+        const auto& reported = reports_.at(key);
+        auto fingerprints = reported.fingerprints;
+        fingerprints.erase(fingerprint);
+        set_report(key, std::move(fingerprints), reported.reported_at);
+        changed_keys_.insert(key);
+    }
+}
+
+void crash_quarantine::on_target_alive(const std::string& incarnation, time_point sent_at)
+{
+    if (const auto found = lost_attempts_.find(incarnation); found != lost_attempts_.end()) {
+        std::erase_if(found->second, [&](const lost_attempt& attempt) { return attempt.at < sent_at; });
+        if (found->second.empty())
+            lost_attempts_.erase(found);
+    }
+    const auto prefix = incarnation + key_separator;
+    for (auto entry = reports_.lower_bound(prefix);
+         entry != reports_.end() && entry->first.starts_with(prefix);) {
+        const auto current = entry++;
+        if (current->second.reported_at >= sent_at)
+            continue;
+        const auto key = current->first;
+        set_report(key, {}, sent_at);
+        changed_keys_.insert(key);
+    }
+}
+
+void crash_quarantine::set_report(const std::string& key, std::set<std::uint64_t> fingerprints,
+                                  time_point now)
+{
+    if (const auto found = reports_.find(key); found != reports_.end()) {
+        for (const auto fingerprint : found->second.fingerprints) {
+            const auto keys = keys_by_fingerprint_.find(fingerprint);
+            keys->second.erase(key);
+            if (keys->second.empty())
+                keys_by_fingerprint_.erase(keys);
+        }
+        reports_.erase(found);
+    }
+    if (fingerprints.empty())
+        return;
+    if (reports_.size() >= max_reports) {
+        const auto oldest = std::ranges::min_element(
+            reports_, {}, [](const auto& entry) { return entry.second.reported_at; });
+        set_report(std::string{oldest->first}, {}, now);
+    }
+    for (const auto fingerprint : fingerprints)
+        keys_by_fingerprint_[fingerprint].insert(key);
+    reports_.emplace(key, report{incarnation_of(key), std::move(fingerprints), now});
+}
+
+bool crash_quarantine::apply(const crash_record& record, time_point now)
+{
+    if (changed_keys_.contains(record.key))
+        return true;
+    if (!record.value) {
+        set_report(record.key, {}, now);
+        return true;
+    }
+    auto fingerprints = decode(*record.value);
+    if (!fingerprints)
+        return false;
+    const auto found = reports_.find(record.key);
+    if (found == reports_.end() || found->second.fingerprints != *fingerprints)
+        set_report(record.key, std::move(*fingerprints), now);
+    return true;
+}
+
+void crash_quarantine::retain(const std::set<std::string, std::less<>>& keys, time_point now)
+{
+    std::vector<std::string> missing;
+    for (const auto& [key, reported] : reports_)
+        if (!keys.contains(key) && !changed_keys_.contains(key))
+            missing.push_back(key);
+    for (const auto& key : missing)
+        set_report(key, {}, now);
+}
+
+std::vector<crash_record> crash_quarantine::extract_changes()
+{
+    std::vector<crash_record> changes;
+    for (const auto& key : changed_keys_) {
+        std::optional<std::string> value;
+        if (const auto found = reports_.find(key); found != reports_.end())
+            value = encode(found->second.fingerprints);
+        changes.push_back({key, std::move(value)});
+    }
+    changed_keys_.clear();
+    return changes;
+}
+
+void crash_quarantine::restore_changes(const std::vector<crash_record>& records)
+{
+    for (const auto& record : records)
+        changed_keys_.insert(record.key);
+}
+
+void crash_quarantine::remove_expired(time_point now, bool withdraw)
+{
+    std::erase_if(lost_attempts_,
+                  [&](const auto& entry) { return now - entry.second.back().at >= lost_attempt_lifetime; });
+    std::vector<std::string> expired;
+    for (const auto& [key, reported] : reports_)
+        if (now - reported.reported_at >= settings_.lifetime)
+            expired.push_back(key);
+    for (const auto& key : expired) {
+        set_report(key, {}, now);
+        if (withdraw)
+            changed_keys_.insert(key);
+    }
+}
+
+std::vector<time_point> crash_quarantine::crash_times(std::uint64_t fingerprint) const
+{
+    const auto found = keys_by_fingerprint_.find(fingerprint);
+    if (found == keys_by_fingerprint_.end())
+        return {};
+    std::map<std::string, time_point> times;
+    for (const auto& key : found->second) {
+        const auto& reported = reports_.at(key);
+        auto& last = times[reported.incarnation];
+        last = std::max(last, reported.reported_at);
+    }
+    std::vector<time_point> sorted;
+    for (const auto& [incarnation, time] : times)
+        sorted.push_back(time);
+    std::ranges::sort(sorted);
+    return sorted;
+}
+
+unsigned crash_quarantine::crashes(std::uint64_t fingerprint) const
+{
+    return static_cast<unsigned>(crash_times(fingerprint).size());
+}
+
+milliseconds crash_quarantine::quarantine_time(std::uint64_t fingerprint, time_point now) const
+{
+    const auto times = crash_times(fingerprint);
+    if (times.size() < settings_.crashes)
+        return milliseconds{0};
+    const auto last_needed = times[times.size() - settings_.crashes];
+    return std::max(std::chrono::ceil<milliseconds>(last_needed + settings_.lifetime - now), milliseconds{1});
+}
+
+} // namespace teaseltally
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -386,6 +386,13 @@
     return request;
 }
 
+std::string format_seconds(milliseconds time)
+{
+    constexpr int ms_per_s = 1000;
+    const auto fraction = std::to_string(time.count() % ms_per_s);
+    return std::to_string(time.count() / ms_per_s) + "." + std::string(3 - fraction.size(), '0') + fraction;
+}
+
 asio::awaitable<void> sleep_for(microseconds duration)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, duration);
--- a/src/net/peer_feed.cpp
+++ b/src/net/peer_feed.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds max_ownership_age{2200};
 /// Value sent in place of the position of a stream that is not requested.
 constexpr auto unrequested_position = "unwanted";
+/// Number of streams that instances without the stream of crashes follow.
+constexpr std::size_t min_stream_count = 4;
 constexpr milliseconds reader_check_interval{1000};
 constexpr milliseconds min_backoff{500};
 constexpr milliseconds max_backoff{8000};
@@ -267,12 +269,14 @@
 {
     const auto parsed = parse_json(request.body(), "peer");
     const auto* positions = std::get_if<Json::Value>(&parsed);
-    if (positions == nullptr || !positions->isArray() || positions->size() != stream_kind_count)
-        co_return make_response(400, "expected a JSON array of " + std::to_string(stream_kind_count) +
-                                         " positions, one per stream\n");
+    if (positions == nullptr || !positions->isArray() || positions->size() < min_stream_count ||
+        positions->size() > stream_kind_count)
+        co_return make_response(400, "expected a JSON array of " + std::to_string(min_stream_count) + " to " +
+                                         std::to_string(stream_kind_count) + " positions, one per stream\n");
+    const std::size_t position_count = positions->size();
     std::array<std::optional<std::uint64_t>, stream_kind_count> from;
     std::array<bool, stream_kind_count> requested{};
-    for (std::size_t kind = 0; kind < stream_kind_count; ++kind) {
+    for (std::size_t kind = 0; kind < position_count; ++kind) {
         const auto& position = (*positions)[static_cast<Json::ArrayIndex>(kind)];
         from[kind] = position_from(position);
         requested[kind] = !position.isString();
@@ -293,7 +297,7 @@
     while (!has_updates() && boot_clock::now() < until)
         static_cast<void>(co_await wake.wait_until(until));
     Json::Value deltas(Json::arrayValue);
-    for (std::size_t kind = 0; kind < stream_kind_count; ++kind)
+    for (std::size_t kind = 0; kind < position_count; ++kind)
         deltas.append(requested[kind]
                           ? encode_delta(local_streams_[kind].delta_since(from[kind], boot_clock::now()))
                           : Json::Value{});
--- a/src/net/request_attempts.cpp
+++ b/src/net/request_attempts.cpp
@@ -151,6 +151,7 @@
         log_lost_attempt(request, attempt);
         break;
     }
+    record_crash_evidence(request, attempt);
     wake_waiting(state);
 }
 
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -42,14 +42,6 @@
     return value;
 }
 
-/// Formats a time in seconds with three decimals.
-std::string format_seconds(milliseconds time)
-{
-    constexpr int ms_per_s = 1000;
-    const auto fraction = std::to_string(time.count() % ms_per_s);
-    return std::to_string(time.count() / ms_per_s) + "." + std::string(3 - fraction.size(), '0') + fraction;
-}
-
 http_response make_refusal(unsigned status, std::string_view cause)
 {
     return make_response(status, std::string{cause} + "\n");
@@ -108,11 +100,15 @@
                 node.close_idle(now, true);
             return;
         }
+        record_target_end(node);
         remove_target(entry.id);
     }
     const auto address = parse_endpoint(entry.address);
     if (failure(address) != nullptr)
         return;
+    for (const auto& [id, other] : targets_)
+        if (other->entry().address == entry.address)
+            record_target_end(*other);
     auto& state = state_of(entry.service);
     auto node =
         std::make_shared<target_node>(executor_, entry, std::get<tcp_endpoint>(address),
@@ -127,6 +123,9 @@
     const auto found = targets_.find(id);
     if (found == targets_.end())
         return;
+    // A target that was shutting down has closed its connections on purpose.
+    if (!found->second->entry().draining)
+        record_target_end(*found->second);
     auto& state = state_of(found->second->entry().service);
     std::erase(state.targets, found->second);
     found->second->close_idle(boot_clock::now(), true);
@@ -284,7 +283,7 @@
     if (running == 0)
         return true;
     if (running > 1 || request.matched_route->semantics == execution_semantics::at_most_once ||
-        request.sends >= request.matched_route->max_attempts)
+        request.sends >= request.matched_route->max_attempts || is_last_crash_tolerated(request))
         return false;
     if (!request.key)
         return now >= hedge_at;
@@ -329,7 +328,10 @@
             co_return make_failure_response(*request, "deadline exceeded", min_retry_after);
         }
         if (should_start_attempt(*request, now, hedge_at)) {
+            if (is_quarantined(*request) && !running)
+                co_return make_quarantine_response(*request);
             if (request->unknown_outcomes >= request->matched_route->max_attempts ||
+                (request->unknown_outcomes > 0 && is_last_crash_tolerated(*request)) ||
                 request->sends >= request->matched_route->max_attempts + extra_sends_after_refusal)
                 co_return make_failure_response(*request, request->cause,
                                                 std::chrono::duration_cast<milliseconds>(state.service_time));
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -57,6 +57,18 @@
     return std::max(milliseconds{seconds * 1000} - idle_close_margin, milliseconds{0});
 }
 
+connection_failure failure_of(const error_code& ec)
+{
+    if (ec == beast::error::timeout)
+        return connection_failure::timed_out;
+    if (ec == asio::error::connection_refused)
+        return connection_failure::refused;
+    const bool lost = ec == asio::error::connection_reset || ec == asio::error::broken_pipe ||
+                      ec == asio::error::eof || ec == http::error::end_of_stream ||
+                      ec == http::error::partial_message;
+    return lost ? connection_failure::lost : connection_failure::none;
+}
+
 /// Reads responses until one belongs to the request, or too many belong to other requests.
 class response_reader {
 public:
@@ -77,6 +89,7 @@
             if (failed) {
                 result.stale_connection =
                     connection_.reused && count == 0 && mismatched == 0 && failed != beast::error::timeout;
+                result.failure = failure_of(failed);
                 result.reason = failed.message();
                 co_return;
             }
@@ -198,6 +211,7 @@
             std::min<std::chrono::steady_clock::duration>(remaining_time(deadline), connect_timeout));
         if (const auto [failed] = co_await stream.async_connect(node->endpoint(), as_result); failed) {
             result.status = exchange_status::not_executed;
+            result.failure = failure_of(failed);
             result.reason = "cannot connect: " + failed.message();
             node->discard(std::move(connection));
             co_return result;
--- /dev/null
+++ b/tests/crash_quarantine_tests.cpp
@@ -0,0 +1,235 @@
+#include <teaseltally/admission/crash_quarantine.hpp>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace teaseltally;
+
+namespace {
+
+const time_point start{std::chrono::hours{1}};
+constexpr milliseconds lifetime{60'000};
+constexpr std::uint64_t lethal = 7;
+constexpr std::uint64_t innocent = 8;
+
+time_point at(int ms)
+{
+    return start + milliseconds{ms};
+}
+
+crash_quarantine make_quarantine(const std::string& instance = "x")
+{
+    return {instance, {3, lifetime}};
+}
+
+/// Records that a target ended while it ran requests.
+void crash(crash_quarantine& quarantine, const std::string& incarnation,
+           const std::vector<std::uint64_t>& fingerprints, time_point now)
+{
+    for (const auto fingerprint : fingerprints)
+        quarantine.on_attempt_lost(incarnation, fingerprint, now);
+    CHECK(quarantine.on_target_ended(incarnation, now + milliseconds{10}));
+}
+
+void share(crash_quarantine& from, crash_quarantine& to, time_point now)
+{
+    for (const auto& record : from.extract_changes())
+        CHECK(to.apply(record, now));
+}
+
+} // namespace
+
+// Guards against the incident BUDGET: a request that crashed three targets was sent on.
+TEST_CASE("a request is quarantined once three targets have ended while they ran it")
+{
+    auto quarantine = make_quarantine();
+    for (int target = 0; target < 3; ++target) {
+        CHECK(quarantine.quarantine_time(lethal, at(target)).count() == 0);
+        crash(quarantine, "t" + std::to_string(target), {lethal}, at(target * 100));
+        CHECK(quarantine.crashes(lethal) == target + 1U);
+    }
+    CHECK(quarantine.quarantine_time(lethal, at(300)) == lifetime - milliseconds{290});
+    CHECK(quarantine.quarantine_time(innocent, at(300)).count() == 0);
+}
+
+// Guards against a quarantine of popular requests, of which many run on one target when it ends.
+TEST_CASE("a target that ended counts once, however many requests and instances lost it")
+{
+    auto first = make_quarantine("x");
+    auto second = make_quarantine("y");
+    crash(first, "t", {innocent, innocent, innocent}, at(0));
+    crash(second, "t", {innocent, innocent}, at(0));
+    share(first, second, at(20));
+    share(second, first, at(20));
+    CHECK(first.crashes(innocent) == 1);
+    CHECK(second.crashes(innocent) == 1);
+}
+
+TEST_CASE("the end of a target on which no attempt was lost is no crash")
+{
+    auto quarantine = make_quarantine();
+    CHECK_FALSE(quarantine.on_target_ended("t", at(0)));
+    quarantine.on_attempt_lost("t", innocent, at(0));
+    CHECK_FALSE(quarantine.on_target_ended("t", at(10'000)));
+    CHECK(quarantine.crashes(innocent) == 0);
+}
+
+TEST_CASE("a response to a request sent after a lost attempt shows that the target has not ended")
+{
+    auto quarantine = make_quarantine();
+    quarantine.on_attempt_lost("t", innocent, at(10));
+    quarantine.on_target_alive("t", at(5));
+    CHECK(quarantine.has_lost_attempts("t"));
+    quarantine.on_target_alive("t", at(11));
+    CHECK_FALSE(quarantine.has_lost_attempts("t"));
+    CHECK_FALSE(quarantine.on_target_ended("t", at(20)));
+}
+
+// Guards against a quarantine after a cut that refuses connections: the targets behind it have not ended.
+TEST_CASE("a response of a target withdraws all reports of its end, also those of other instances")
+{
+    auto first = make_quarantine("x");
+    auto second = make_quarantine("y");
+    crash(first, "t", {innocent}, at(0));
+    share(first, second, at(20));
+    crash(second, "t", {innocent}, at(30));
+    second.on_target_alive("t", at(20));
+    CHECK(second.crashes(innocent) == 1);
+    second.on_target_alive("t", at(50));
+    CHECK(second.crashes(innocent) == 0);
+    share(second, first, at(60));
+    CHECK(first.crashes(innocent) == 0);
+}
+
+// Guards against a quarantine of requests that ran beside a lethal one.
+TEST_CASE("a completed request withdraws its fingerprint from all reports and leaves the others")
+{
+    auto first = make_quarantine("x");
+    auto second = make_quarantine("y");
+    for (const char* target : {"t1", "t2", "t3"})
+        crash(first, target, {innocent, lethal}, at(0));
+    share(first, second, at(20));
+    CHECK(second.crashes(innocent) == 3);
+    second.on_request_completed(innocent);
+    CHECK(second.crashes(innocent) == 0);
+    CHECK(second.crashes(lethal) == 3);
+    share(second, first, at(30));
+    CHECK(first.crashes(innocent) == 0);
+    CHECK(first.crashes(lethal) == 3);
+}
+
+TEST_CASE("records that could not be shared are extracted again with their current values")
+{
+    auto first = make_quarantine("x");
+    auto second = make_quarantine("y");
+    crash(first, "t1", {lethal}, at(0));
+    const auto records = first.extract_changes();
+    REQUIRE(records.size() == 1);
+    CHECK(first.extract_changes().empty());
+    crash(first, "t1", {innocent}, at(100));
+    first.restore_changes(records);
+    share(first, second, at(200));
+    CHECK(second.crashes(lethal) == 1);
+    CHECK(second.crashes(innocent) == 1);
+}
+
+TEST_CASE("a snapshot removes the reports that it lacks, but no change that was not shared yet")
+{
+    auto first = make_quarantine("x");
+    auto second = make_quarantine("y");
+    crash(first, "t1", {lethal}, at(0));
+    share(first, second, at(10));
+    crash(second, "t2", {lethal}, at(20));
+    second.retain({}, at(30));
+    CHECK(second.crashes(lethal) == 1);
+    CHECK(second.extract_changes().size() == 1);
+}
+
+TEST_CASE("reports are forgotten after their lifetime, and the removal is shared if requested")
+{
+    for (const bool withdraw : {false, true}) {
+        auto quarantine = make_quarantine();
+        crash(quarantine, "t1", {lethal}, at(0));
+        static_cast<void>(quarantine.extract_changes());
+        quarantine.remove_expired(at(0) + lifetime, withdraw);
+        CHECK(quarantine.crashes(lethal) == 1);
+        quarantine.remove_expired(at(20) + lifetime, withdraw);
+        CHECK(quarantine.crashes(lethal) == 0);
+        CHECK(quarantine.extract_changes().size() == (withdraw ? 1 : 0));
+    }
+}
+
+TEST_CASE("a malformed record is rejected and changes nothing")
+{
+    auto quarantine = make_quarantine();
+    crash(quarantine, "t1", {lethal}, at(0));
+    static_cast<void>(quarantine.extract_changes());
+    for (const char* value : {"", "{}", "7", "[-1]", "[\"7\"]", "[1"}) {
+        CAPTURE(std::string{value});
+        CHECK_FALSE(quarantine.apply({"t1|x", value}, at(10)));
+        CHECK_FALSE(quarantine.apply({"t2|y", value}, at(10)));
+    }
+    CHECK(quarantine.crashes(lethal) == 1);
+    for (const char* text : {"", "{}", "[1]", "[[1,2]]", "[[\"a\"]]", "[[\"a\",1]]"}) {
+        CAPTURE(std::string{text});
+        CHECK_FALSE(decode_crash_records(text));
+    }
+}
+
+TEST_CASE("records are the same after encoding and decoding")
+{
+    const std::vector<crash_record> records{{"t1@0|x", "[7,18446744073709551615]"}, {"t2@5|y", std::nullopt}};
+    const auto decoded = decode_crash_records(encode_crash_records(records));
+    REQUIRE(decoded);
+    REQUIRE(decoded->size() == records.size());
+    for (std::size_t index = 0; index < records.size(); ++index) {
+        CHECK((*decoded)[index].key == records[index].key);
+        CHECK((*decoded)[index].value == records[index].value);
+    }
+}
+
+TEST_CASE("at most 1024 reports are kept, and the oldest is dropped first")
+{
+    auto quarantine = make_quarantine();
+    for (int target = 0; target < 1100; ++target)
+        crash(quarantine, "t" + std::to_string(target), {static_cast<std::uint64_t>(target)}, at(target));
+    CHECK(quarantine.crashes(75) == 0);
+    CHECK(quarantine.crashes(76) == 1);
+    CHECK(quarantine.crashes(1099) == 1);
+}
+
+// Guards against instances that disagree for good after records arrived in different orders.
+TEST_CASE("instances that share all changes agree, whatever each observed")
+{
+    CHECK(rc::check([](const std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>>& steps) {
+        std::vector<crash_quarantine> instances;
+        for (const char* name : {"x", "y", "z"})
+            instances.push_back(make_quarantine(name));
+        int now = 0;
+        for (const auto& [who, what, which] : steps) {
+            auto& instance = instances[who % instances.size()];
+            const auto incarnation = "t" + std::to_string(which % 4);
+            const std::uint64_t fingerprint = which / 4 % 4;
+            now += 10;
+            switch (what % 4) {
+            case 0:
+            case 1:
+                instance.on_attempt_lost(incarnation, fingerprint, at(now));
+                instance.on_target_ended(incarnation, at(now + 1));
+                break;
+            case 2:
+                instance.on_target_alive(incarnation, at(now));
+                break;
+            default:
+                instance.on_request_completed(fingerprint);
+                break;
+            }
+            for (const auto& record : instance.extract_changes())
+                for (auto& other : instances)
+                    RC_ASSERT(other.apply(record, at(now + 2)));
+        }
+        for (std::uint64_t fingerprint = 0; fingerprint < 4; ++fingerprint)
+            for (const auto& instance : instances)
+                RC_ASSERT(instance.crashes(fingerprint) == instances.front().crashes(fingerprint));
+    }));
+}
--- a/tests/peer_feed_tests.cpp
+++ b/tests/peer_feed_tests.cpp
@@ -1,5 +1,6 @@
 #include "support/run.hpp"
 
+#include <teaseltally/json.hpp>
 #include <teaseltally/net/peer_feed.hpp>
 
 #include <boost/asio/detached.hpp>
@@ -195,6 +196,23 @@
     CHECK(boot_clock::now() - started_at >= milliseconds{300});
 }
 
+// Guards against an upgrade in which the instances of the earlier version can follow no upgraded one.
+TEST_CASE("an instance that follows one stream less receives the streams that it requests")
+{
+    asio::io_context io(1);
+    feeding_instance other(io);
+    std::optional<http_response> response;
+    run(io, [&]() -> asio::awaitable<void> {
+        auto request = make_request(boost::beast::http::verb::post, "/feed", "[null,null,null,null]");
+        response = co_await other.feed.handle_request(std::move(request));
+    });
+    REQUIRE(response->result_int() == 200);
+    const auto deltas = std::get<Json::Value>(parse_json(response->body(), "response"));
+    REQUIRE(deltas.size() == 4);
+    for (const auto& delta : deltas)
+        CHECK(delta["records"].size() == 1);
+}
+
 // Guards against a dangling waiter when a follower closes its connection during a long poll.
 TEST_CASE("the request of a follower that disconnects is removed from the waiting requests")
 {
@@ -221,7 +239,7 @@
 {
     asio::io_context io(1);
     feeding_instance other(io);
-    for (const char* text : {"", "{}", "[1,2]", "[1,2,3,4,5]"}) {
+    for (const char* text : {"", "{}", "[1,2]", "[1,2,3]", "[1,2,3,4,5,6]"}) {
         unsigned status = 0;
         run(io, [&]() -> asio::awaitable<void> {
             auto request = make_request(boost::beast::http::verb::post, "/feed", text);
@@ -229,9 +247,9 @@
         });
         CHECK(status == 400);
     }
-    for (const char* text : {"", "{}", "[1,2,3,4]", R"([{},{},{},{}])",
-                             R"([{"snapshot":true,"next":-1,"age":0,"records":[]},{},{},{}])",
-                             R"([{"snapshot":true,"next":1,"age":0,"records":[[1]]},{},{},{}])"}) {
+    for (const char* text : {"", "{}", "[1,2,3,4]", "[1,2,3,4,5]", R"([{},{},{},{}])", R"([{},{},{},{},{}])",
+                             R"([{"snapshot":true,"next":-1,"age":0,"records":[]},{},{},{},{}])",
+                             R"([{"snapshot":true,"next":1,"age":0,"records":[[1]]},{},{},{},{}])"}) {
         CAPTURE(std::string{text});
         http_server server(
             io.get_executor(), any_port, {},
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -74,6 +74,21 @@
     CHECK(std::get<std::vector<error>>(read).front().message.find("[limits] descriptors") == 0);
 }
 
+TEST_CASE("the limits of the quarantine are read, and limits out of range are rejected")
+{
+    const auto read = parse_settings(valid_settings + "[quarantine]\ncrashes = 2\nlifetime = 90s\n", "local");
+    REQUIRE(std::holds_alternative<settings>(read));
+    CHECK(std::get<settings>(read).quarantine.crashes == 2);
+    CHECK(std::get<settings>(read).quarantine.lifetime == milliseconds{90'000});
+    for (const char* section : {"crashes = 0", "crashes = x", "lifetime = 0ms", "lifetime = soon"}) {
+        CAPTURE(std::string{section});
+        const auto rejected = parse_settings(valid_settings + "[quarantine]\n" + section + "\n", "local");
+        REQUIRE(std::holds_alternative<std::vector<error>>(rejected));
+        CHECK(to_string(std::get<std::vector<error>>(rejected).front()).find("[quarantine] ") !=
+              std::string::npos);
+    }
+}
+
 TEST_CASE("a valid configuration is decoded")
 {
     const auto decoded = decode_configuration(valid_configuration);
--- a/tests/target_exchange_tests.cpp
+++ b/tests/target_exchange_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <teaseltally/net/caller_server.hpp>
 #include <teaseltally/net/target_node.hpp>
+#include <teaseltally/request_policy.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -292,6 +293,108 @@
     CHECK(fingerprints[0] == fingerprints[1]);
 }
 
+namespace {
+
+/// A router with a quarantine, whose requests come from 127.0.0.1.
+struct quarantine_fixture : router_fixture {
+    explicit quarantine_fixture(execution_semantics semantics) : router_fixture(semantics)
+    {
+        router.set_quarantine(quarantine);
+    }
+    /// Records that `count` targets ended while they ran the request that `send_request` sends.
+    void record_crashes(unsigned count)
+    {
+        const auto fingerprint = fingerprint_of("127.0.0.1", "h.example", "GET", "/x", "");
+        for (unsigned target = 0; target < count; ++target) {
+            const auto name = "ended-" + std::to_string(target);
+            quarantine.on_attempt_lost(name, fingerprint, boot_clock::now());
+            CHECK(quarantine.on_target_ended(name, boot_clock::now()));
+        }
+    }
+    crash_quarantine quarantine{"x", {3, milliseconds{60'000}}};
+};
+
+} // namespace
+
+TEST_CASE("a quarantined request is refused at once with the time until its quarantine ends")
+{
+    for (const auto semantics : {execution_semantics::idempotent, execution_semantics::at_most_once}) {
+        quarantine_fixture fixture(semantics);
+        auto& target = fixture.add_target();
+        target.enqueue_response(signed_response("q"));
+        fixture.record_crashes(3);
+        const auto sent_at = boot_clock::now();
+        const auto response = fixture.send_request("q");
+        CHECK(boot_clock::now() - sent_at < milliseconds{500});
+        CHECK(response.result_int() == 503);
+        const auto retry_after = std::stod(std::string{response[http::field::retry_after]});
+        CHECK(retry_after > 55);
+        CHECK(retry_after <= 60);
+        CHECK(fixture.requests() == 0);
+    }
+}
+
+// Guards against a retry that ends one more target in the same attempt of a caller.
+TEST_CASE("a request after which all but one of the tolerated targets ended is not sent again")
+{
+    for (const unsigned crashes : {1U, 2U}) {
+        CAPTURE(crashes);
+        quarantine_fixture fixture(execution_semantics::idempotent);
+        auto& target = fixture.add_target();
+        target.enqueue_response("", true);
+        target.enqueue_response(signed_response("q"));
+        fixture.record_crashes(crashes);
+        CHECK(fixture.send_request("q").result_int() == (crashes == 1 ? 200 : 502));
+        CHECK(fixture.requests() == (crashes == 1 ? 2 : 1));
+    }
+}
+
+TEST_CASE("a request that a target completes is cleared of earlier crashes")
+{
+    quarantine_fixture fixture(execution_semantics::idempotent);
+    fixture.add_target().enqueue_response(signed_response("q"));
+    fixture.record_crashes(2);
+    CHECK(fixture.send_request("q").result_int() == 200);
+    CHECK(fixture.quarantine.extract_changes().front().value == std::nullopt);
+}
+
+// Guards against targets whose end is not noticed because their connections hang instead of being reset.
+TEST_CASE(
+    "a target that is removed after it left a request unanswered counts as crashed unless it was draining")
+{
+    enum class removal { deregistered, deregistered_while_draining, replaced_at_its_address, restarted };
+    for (const auto how : {removal::deregistered, removal::deregistered_while_draining,
+                           removal::replaced_at_its_address, removal::restarted}) {
+        CAPTURE(static_cast<int>(how));
+        quarantine_fixture fixture(execution_semantics::at_most_once);
+        const auto& target = fixture.add_target();
+        const auto port = std::to_string(target.local_endpoint().port());
+        CHECK(fixture.send_request("q").result_int() == 504);
+        const target_entry entry{"i" + port, "s", "127.0.0.1:" + port, "a", 4, false, {}, 0, 2};
+        auto changed = entry;
+        switch (how) {
+        case removal::deregistered:
+            break;
+        case removal::deregistered_while_draining:
+            changed.draining = true;
+            fixture.router.update_target(changed);
+            break;
+        case removal::replaced_at_its_address:
+            changed.id = "other";
+            fixture.router.update_target(changed);
+            break;
+        case removal::restarted:
+            changed.start_unix_ms = 5;
+            fixture.router.update_target(changed);
+            break;
+        }
+        if (how == removal::deregistered || how == removal::deregistered_while_draining)
+            fixture.router.remove_target(entry.id);
+        CHECK(fixture.quarantine.extract_changes().size() ==
+              (how == removal::deregistered_while_draining ? 0 : 1));
+    }
+}
+
 // Guards against a busy loop from the time when a further hedged attempt would be due until the deadline.
 TEST_CASE("a request whose attempts do not end wakes the process only at intervals")
 {
