Give each process of the front tests a loopback address of its own

What was seen: one run of front_tests in three stopped with "instance is not ready". Cause, from a loop over the start of deployments (7th of 60): "bind: Address already in use". The test chose free ports, closed them and started the instance later, so that another socket could take them in between. Targets that listen again at their port had the same gap.

The message of the test contains the output of the instance.

--- a/tests/front_tests.cpp
+++ b/tests/front_tests.cpp
@@ -22,6 +22,9 @@
 
 constexpr std::size_t fronts_per_data_centre = 2;
 constexpr std::size_t front_count = 2 * fronts_per_data_centre;
+constexpr std::uint8_t target_count = 10;
+constexpr std::uint8_t first_front_host = 10;
+constexpr std::uint8_t first_target_host = 100;
 /// Number of ends after which a request may be sent on only for a bounded time, and that time: the rule
 /// BUDGET of the users' platform with its `stable-window`.
 constexpr std::size_t tolerated_ends = 3;
@@ -77,16 +80,17 @@
         std::filesystem::remove_all(folder_);
         std::filesystem::create_directories(folder_);
         configure(semantics);
-        constexpr int target_count = 10;
-        for (int index = 0; index < target_count; ++index)
-            targets.push_back(
-                std::make_unique<fake_target>(io, store, "s", index % 2 == 0 ? "a" : "b", behaviour, runs));
+        for (std::uint8_t index = 0; index < target_count; ++index)
+            targets.push_back(std::make_unique<fake_target>(
+                io, store, fixed_endpoint(static_cast<std::uint8_t>(first_target_host + index)), "s",
+                index % 2 == 0 ? "a" : "b", behaviour, runs));
         for (std::size_t index = 0; index < front_count; ++index) {
             const std::string data_centre = index < fronts_per_data_centre ? "a" : "b";
             const auto name =
                 "front-" + data_centre + "-" + std::to_string(index % fronts_per_data_centre + 1);
             fronts.push_back(
-                std::make_unique<front_process>(folder_, name, data_centre, store.endpoint(index)));
+                std::make_unique<front_process>(folder_, static_cast<std::uint8_t>(first_front_host + index),
+                                                name, data_centre, store.endpoint(index)));
             fronts.back()->start();
         }
     }
@@ -114,7 +118,7 @@
                 co_return;
             co_await sleep_for(milliseconds{50});
         }
-        throw std::runtime_error("instance is not ready");
+        throw std::runtime_error("an instance is not ready; its output:\n" + fronts[front]->output());
     }
     asio::awaitable<void> wait_until_ready()
     {
--- a/tests/support/fake_target.cpp
+++ b/tests/support/fake_target.cpp
@@ -32,10 +32,10 @@
     boost::beast::flat_buffer buffer;
 };
 
-fake_target::fake_target(asio::io_context& io, fake_store& store, std::string service,
+fake_target::fake_target(asio::io_context& io, fake_store& store, tcp_endpoint endpoint, std::string service,
                          std::string data_centre, target_behaviour behaviour, std::vector<target_run>& runs)
     : io_(io), store_(store), service_(std::move(service)), data_centre_(std::move(data_centre)),
-      behaviour_(behaviour), runs_(runs), acceptor_(io)
+      behaviour_(behaviour), runs_(runs), acceptor_(io), endpoint_(std::move(endpoint))
 {
     start_incarnation();
 }
@@ -57,7 +57,7 @@
 void fake_target::register_incarnation()
 {
     Json::Value entry;
-    entry["address"] = "127.0.0.1:" + std::to_string(endpoint_.port());
+    entry["address"] = endpoint_.address().to_string() + ":" + std::to_string(endpoint_.port());
     entry["info"]["service"] = service_;
     entry["info"]["version"] = "v1";
     entry["info"]["zone"] = data_centre_;
--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -5,7 +5,6 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <bitset>
-#include <map>
 #include <set>
 
 /// @file
@@ -41,9 +40,10 @@
 class fake_target {
 public:
     /// Starts the first incarnation and registers it.
+    /// @param endpoint address and port on which all incarnations listen.
     /// @param runs receives every request that the target begins to execute.
-    fake_target(asio::io_context& io, fake_store& store, std::string service, std::string data_centre,
-                target_behaviour behaviour, std::vector<target_run>& runs);
+    fake_target(asio::io_context& io, fake_store& store, tcp_endpoint endpoint, std::string service,
+                std::string data_centre, target_behaviour behaviour, std::vector<target_run>& runs);
 
     /// Returns the id of the current incarnation.
     [[nodiscard]] const std::string& id() const noexcept { return id_; }
--- a/tests/support/front_process.cpp
+++ b/tests/support/front_process.cpp
@@ -2,8 +2,6 @@
 
 #include "support/run.hpp"
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include <array>
 #include <csignal>
 #include <fcntl.h>
@@ -23,21 +21,15 @@
 
 } // namespace
 
-front_process::front_process(std::filesystem::path folder, std::string name, const std::string& data_centre,
-                             const tcp_endpoint& store)
-    : folder_(std::move(folder)), name_(std::move(name))
+front_process::front_process(std::filesystem::path folder, std::uint8_t host, std::string name,
+                             const std::string& data_centre, const tcp_endpoint& store)
+    : folder_(std::move(folder)), name_(std::move(name)), callers_(fixed_endpoint(host, 1)),
+      readiness_(fixed_endpoint(host, 2))
 {
-    // Listeners that are open at the same time get different free ports.
-    asio::io_context io;
-    const asio::ip::tcp::acceptor callers(io, any_port);
-    const asio::ip::tcp::acceptor readiness(io, any_port);
-    const asio::ip::tcp::acceptor peers(io, any_port);
-    callers_ = callers.local_endpoint();
-    readiness_ = readiness.local_endpoint();
     std::ofstream settings(folder_ / (name_ + ".ini"));
     settings << "[instance]\nname = " << name_ << "\ndata_centre = " << data_centre
              << "\ncaller_address = " << text_of(callers_) << "\nready_address = " << text_of(readiness_)
-             << "\npeer_address = " << text_of(peers.local_endpoint())
+             << "\npeer_address = " << text_of(fixed_endpoint(host, 3))
              << "\n[platform]\naddress = " << text_of(store) << "\n";
 }
 
--- a/tests/support/front_process.hpp
+++ b/tests/support/front_process.hpp
@@ -14,11 +14,12 @@
 /// Process of one instance. It is killed on destruction.
 class front_process {
 public:
-    /// Writes the settings file and starts the process.
+    /// Writes the settings file.
     /// @param folder existing folder for settings and output.
+    /// @param host number of the host whose address the process uses (see `fixed_endpoint`).
     /// @param store endpoint of the store.
-    front_process(std::filesystem::path folder, std::string name, const std::string& data_centre,
-                  const tcp_endpoint& store);
+    front_process(std::filesystem::path folder, std::uint8_t host, std::string name,
+                  const std::string& data_centre, const tcp_endpoint& store);
     ~front_process();
     front_process(const front_process&) = delete;
     front_process& operator=(const front_process&) = delete;
