Start the retry budget with one token instead of a full bucket

What callers could see: instances that restart again and again repeat more requests than the budget that all instances share allows (BUDGET), for example when all are killed while targets fail.

What was spent is remembered by the process only, and each start filled the bucket.

Change: the bucket starts with one token, so that a first request can still be repeated, and fills by requests.

--- a/include/teaseltally/admission/retry_token_bucket.hpp
+++ b/include/teaseltally/admission/retry_token_bucket.hpp
@@ -11,10 +11,12 @@
 /// interval it grants at most its capacity plus the ratio times the number of requests in that interval.
 class retry_token_bucket {
 public:
-    /// Creates a full bucket.
+    /// Creates a bucket with one token. A process that restarts does not know how many its predecessor spent,
+    /// so a full bucket at each start would exceed the limit.
     /// @param ratio number of tokens deposited by one request.
     /// @param capacity maximum number of tokens held.
-    retry_token_bucket(double ratio, double capacity) : ratio_(ratio), capacity_(capacity), tokens_(capacity)
+    retry_token_bucket(double ratio, double capacity)
+        : ratio_(ratio), capacity_(capacity), tokens_(std::min(1.0, capacity))
     {
     }
 
--- a/tests/target_exchange_tests.cpp
+++ b/tests/target_exchange_tests.cpp
@@ -395,6 +395,27 @@
     }
 }
 
+// Guards against a full retry budget after each restart: processes that restart often exceeded the shared
+// limit.
+TEST_CASE("instances that restart again and again do not exceed the retry budget")
+{
+    constexpr double ratio = 0.2;
+    constexpr double burst = 40;
+    constexpr unsigned restarts = 10;
+    constexpr unsigned requests_per_run = 20;
+    std::size_t repeats = 0;
+    for (unsigned run = 0; run < restarts; ++run) {
+        router_fixture fixture(execution_semantics::idempotent, burst);
+        // Each target fails once, after which it is not chosen for a while.
+        for (unsigned index = 0; index < 2 * requests_per_run; ++index)
+            fixture.add_target().enqueue_response("", true);
+        for (unsigned request = 0; request < requests_per_run; ++request)
+            static_cast<void>(fixture.send_request("q"));
+        repeats += fixture.requests() - std::min<std::size_t>(fixture.requests(), requests_per_run);
+    }
+    CHECK(static_cast<double>(repeats) <= burst + ratio * restarts * requests_per_run);
+}
+
 // Guards against a busy loop from the time when a further hedged attempt would be due until the deadline.
 TEST_CASE("a request whose attempts do not end wakes the process only at intervals")
 {
