Check caller and deadline again after the claim of a trial

What callers could see: a caller that left while the claim was on its way to the store (4 ms, up to 900 ms if the store hangs) had its request run all the same.

Cause: the request was sent right after the claim, past the checks at the head of the loop.

Change: the loop starts again after a claim.

--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -332,6 +332,8 @@
                 request->is_trial = request->sends == 0 && co_await claim_trial(request, state);
                 if (!request->is_trial)
                     co_return make_quarantine_response(*request);
+                // The caller may have left, or the deadline may have passed, during the claim.
+                continue;
             }
             if (request->unknown_outcomes >= request->matched_route->max_attempts ||
                 (request->unknown_outcomes > 0 && is_last_crash_tolerated(*request)) ||
