--- a/src/admission/crash_quarantine.cpp
+++ b/src/admission/crash_quarantine.cpp
@@ -346,6 +346,7 @@
         last = std::max(last, reported.reported_at);
     }
     std::vector<time_point> sorted;
+    sorted.reserve(times.size());
     for (const auto& [incarnation, time] : times)
         sorted.push_back(time);
     std::ranges::sort(sorted);
