--- a/include/teaseltally/admission/crash_quarantine.hpp
+++ b/include/teaseltally/admission/crash_quarantine.hpp
@@ -3,11 +3,13 @@
 #include <teaseltally/types.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 /// @file
@@ -37,6 +39,10 @@
 /// A request that was on a target when it ended is not necessarily the cause. Two observations withdraw a
 /// report: the target answers a request that was sent later, so it has not ended; or a target completes a
 /// request with the fingerprint, so the request does not crash targets.
+///
+/// A quarantined request is not sent, so it cannot complete any more. It gets one trial if requests with its
+/// fingerprint completed before, or if another request ran on all targets that ended: with the same key, a
+/// request runs on the same targets as a lethal one.
 class crash_quarantine {
 public:
     /// @param instance identifier of this instance; part of the keys of its records.
@@ -49,12 +55,19 @@
     bool on_target_ended(const std::string& incarnation, time_point now);
     /// Records that a target has executed a request with the fingerprint and responded.
     void on_request_completed(std::uint64_t fingerprint);
+    /// Returns the record that claims the trial of a quarantined request. The trial may start once the record
+    /// has been appended to a log that contained no record unknown to this instance.
+    /// @returns the record, or nothing if there is no trial at this time.
+    [[nodiscard]] std::optional<crash_record> next_trial(std::uint64_t fingerprint, time_point now) const;
     /// Records that a target incarnation has responded to a request.
     /// @param sent_at time when the request was sent; attempts lost and ends reported before are withdrawn.
     void on_target_alive(const std::string& incarnation, time_point sent_at);
     /// Returns whether attempts were lost on a target incarnation since its last response.
     [[nodiscard]] bool has_lost_attempts(const std::string& incarnation) const;
 
+    /// Returns whether a target incarnation is reported to have ended.
+    [[nodiscard]] bool is_reported(const std::string& incarnation) const;
+
     /// Applies a record of any instance. A malformed value is ignored.
     /// @returns whether the record was valid.
     bool apply(const crash_record& record, time_point now);
@@ -89,6 +102,9 @@
     };
 
     [[nodiscard]] std::vector<time_point> crash_times(std::uint64_t fingerprint) const;
+    void add_completed(std::uint64_t fingerprint);
+    /// Returns whether requests with another fingerprint ran on all targets whose ends count for this one.
+    [[nodiscard]] bool has_other_suspect(std::uint64_t fingerprint) const;
     /// Sets the fingerprints of a report; none removes it.
     void set_report(const std::string& key, std::set<std::uint64_t> fingerprints, time_point now);
 
@@ -98,6 +114,11 @@
     std::map<std::string, report, std::less<>> reports_;
     /// Keys of the reports that contain a fingerprint.
     std::map<std::uint64_t, std::set<std::string>> keys_by_fingerprint_;
+    /// Times of the claims of trials.
+    std::map<std::uint64_t, time_point> trials_;
+    /// Fingerprints of completed requests, and the order in which they were added.
+    std::unordered_set<std::uint64_t> completed_;
+    std::deque<std::uint64_t> completed_order_;
     std::set<std::string> changed_keys_;
 };
 
--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -100,6 +100,8 @@
     unsigned sends = 0;
     /// Number of attempts that ended without a response although the target may have executed the request.
     unsigned unknown_outcomes = 0;
+    /// Whether the request is the trial of its quarantined fingerprint.
+    bool is_trial = false;
     /// Whether a target may have executed the request, at least in part.
     bool may_have_executed = false;
 
@@ -133,10 +135,17 @@
     /// Sets the log from which the owners of keys are read.
     /// @param log ownership log; it outlives the router.
     void set_ownership(const ownership_log& log) { ownership_ = &log; }
+    /// Claims the trial of a quarantined request; returns whether the request may be sent once.
+    using trial_claim = std::function<asio::awaitable<bool>(std::uint64_t fingerprint)>;
     /// Sets the quarantine, which receives the ends of targets and decides which requests are refused.
     /// Without one, no request is refused because of crashes.
     /// @param quarantine outlives the router.
-    void set_quarantine(crash_quarantine& quarantine) { quarantine_ = &quarantine; }
+    /// @param claim claims trials; none are claimed if it is empty.
+    void set_quarantine(crash_quarantine& quarantine, trial_claim claim)
+    {
+        quarantine_ = &quarantine;
+        claim_trial_ = std::move(claim);
+    }
     /// Wakes the requests that wait for the owner of their key.
     void on_ownership_changed();
     /// Sets the number of instances that share the limits on retries and connections; zero counts as one.
@@ -203,6 +212,9 @@
     [[nodiscard]] bool is_quarantined(const routed_request& request) const;
     /// Returns whether targets have crashed and one more crash would quarantine the request.
     [[nodiscard]] bool is_last_crash_tolerated(const routed_request& request) const;
+    /// Claims the trial of a quarantined request if a target could run it now.
+    [[nodiscard]] asio::awaitable<bool> claim_trial(const std::shared_ptr<routed_request>& request,
+                                                    service_state& state);
     [[nodiscard]] http_response make_quarantine_response(routed_request& request) const;
     [[nodiscard]] std::optional<http_response> handle_result(routed_request& request,
                                                              routed_attempt& attempt);
@@ -225,6 +237,7 @@
     std::map<std::string, service_state, std::less<>> services_;
     const ownership_log* ownership_ = nullptr;
     crash_quarantine* quarantine_ = nullptr;
+    trial_claim claim_trial_;
     /// Incarnations of targets that are being probed.
     std::set<std::string> probed_incarnations_;
     traffic_report traffic_;
--- a/src/admission/crash_quarantine.cpp
+++ b/src/admission/crash_quarantine.cpp
@@ -3,6 +3,7 @@
 #include <teaseltally/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace teaseltally {
@@ -15,6 +16,15 @@
 constexpr std::size_t max_lost_attempts = 64;
 /// Maximum number of reports; the oldest is dropped first.
 constexpr std::size_t max_reports = 1024;
+/// Maximum number of fingerprints of completed requests; the oldest are dropped first.
+constexpr std::size_t max_completed = 4096;
+/// Minimum time between the claims of two trials, so that the end of a target can be attributed to one of
+/// them.
+constexpr milliseconds trial_interval{2000};
+/// Prefix of the keys of trials, followed by the fingerprint.
+constexpr std::string_view trial_prefix = "trial|";
+/// Value of the records of trials.
+constexpr auto trial_value = "claimed";
 /// Separates the incarnation from the instance in the key of a record.
 constexpr char key_separator = '|';
 
@@ -23,6 +33,23 @@
     return key.substr(0, key.rfind(key_separator));
 }
 
+std::string trial_key(std::uint64_t fingerprint)
+{
+    return std::string{trial_prefix} + std::to_string(fingerprint);
+}
+
+/// Returns the fingerprint of the key of a trial; nothing for other keys.
+std::optional<std::uint64_t> fingerprint_of_trial(std::string_view key)
+{
+    if (!key.starts_with(trial_prefix))
+        return std::nullopt;
+    key.remove_prefix(trial_prefix.size());
+    std::uint64_t fingerprint = 0;
+    const auto [end, failed] = std::from_chars(key.data(), key.data() + key.size(), fingerprint);
+    return failed == std::errc{} && end == key.data() + key.size() ? std::optional{fingerprint}
+                                                                   : std::nullopt;
+}
+
 std::string encode(const std::set<std::uint64_t>& fingerprints)
 {
     Json::Value values(Json::arrayValue);
@@ -103,6 +130,13 @@
     return lost_attempts_.contains(incarnation);
 }
 
+bool crash_quarantine::is_reported(const std::string& incarnation) const
+{
+    const auto prefix = incarnation + key_separator;
+    const auto found = reports_.lower_bound(prefix);
+    return found != reports_.end() && found->first.starts_with(prefix);
+}
+
 bool crash_quarantine::on_target_ended(const std::string& incarnation, time_point now)
 {
     const auto found = lost_attempts_.find(incarnation);
@@ -123,8 +157,51 @@
     return true;
 }
 
+void crash_quarantine::add_completed(std::uint64_t fingerprint)
+{
+    if (!completed_.insert(fingerprint).second)
+        return;
+    completed_order_.push_back(fingerprint);
+    if (completed_order_.size() > max_completed) {
+        completed_.erase(completed_order_.front());
+        completed_order_.pop_front();
+    }
+}
+
+bool crash_quarantine::has_other_suspect(std::uint64_t fingerprint) const
+{
+    const auto keys = keys_by_fingerprint_.find(fingerprint);
+    if (keys == keys_by_fingerprint_.end())
+        return false;
+    std::map<std::uint64_t, std::set<std::string_view>> incarnations_by_fingerprint;
+    for (const auto& key : keys->second) {
+        const auto& reported = reports_.at(key);
+        for (const auto suspect : reported.fingerprints)
+            incarnations_by_fingerprint[suspect].insert(reported.incarnation);
+    }
+    const auto count = incarnations_by_fingerprint[fingerprint].size();
+    return std::ranges::any_of(incarnations_by_fingerprint, [&](const auto& suspect) {
+        return suspect.first != fingerprint && suspect.second.size() == count;
+    });
+}
+
+std::optional<crash_record> crash_quarantine::next_trial(std::uint64_t fingerprint, time_point now) const
+{
+    if (trials_.contains(fingerprint) || crashes(fingerprint) < settings_.crashes ||
+        !(completed_.contains(fingerprint) || has_other_suspect(fingerprint)))
+        return std::nullopt;
+    const bool recent =
+        std::ranges::any_of(trials_, [&](const auto& trial) { return now - trial.second < trial_interval; });
+    if (recent)
+        return std::nullopt;
+    return crash_record{trial_key(fingerprint), trial_value};
+}
+
 void crash_quarantine::on_request_completed(std::uint64_t fingerprint)
 {
+    add_completed(fingerprint);
+    if (trials_.erase(fingerprint) > 0)
+        changed_keys_.insert(trial_key(fingerprint));
     const auto found = keys_by_fingerprint_.find(fingerprint);
     if (found == keys_by_fingerprint_.end())
         return;
@@ -184,6 +261,13 @@
 {
     if (changed_keys_.contains(record.key))
         return true;
+    if (const auto fingerprint = fingerprint_of_trial(record.key)) {
+        if (record.value)
+            trials_.try_emplace(*fingerprint, now);
+        else
+            trials_.erase(*fingerprint);
+        return true;
+    }
     if (!record.value) {
         set_report(record.key, {}, now);
         return true;
@@ -205,6 +289,7 @@
             missing.push_back(key);
     for (const auto& key : missing)
         set_report(key, {}, now);
+    std::erase_if(trials_, [&](const auto& trial) { return !keys.contains(trial_key(trial.first)); });
 }
 
 std::vector<crash_record> crash_quarantine::extract_changes()
@@ -212,7 +297,9 @@
     std::vector<crash_record> changes;
     for (const auto& key : changed_keys_) {
         std::optional<std::string> value;
-        if (const auto found = reports_.find(key); found != reports_.end())
+        if (const auto fingerprint = fingerprint_of_trial(key); fingerprint && trials_.contains(*fingerprint))
+            value = trial_value;
+        else if (const auto found = reports_.find(key); found != reports_.end())
             value = encode(found->second.fingerprints);
         changes.push_back({key, std::move(value)});
     }
@@ -231,6 +318,12 @@
     std::erase_if(lost_attempts_,
                   [&](const auto& entry) { return now - entry.second.back().at >= lost_attempt_lifetime; });
     std::vector<std::string> expired;
+    std::erase_if(trials_, [&](const auto& trial) {
+        const bool over = now - trial.second >= settings_.lifetime;
+        if (over)
+            expired.push_back(trial_key(trial.first));
+        return over;
+    });
     for (const auto& [key, reported] : reports_)
         if (now - reported.reported_at >= settings_.lifetime)
             expired.push_back(key);
--- a/src/net/request_crashes.cpp
+++ b/src/net/request_crashes.cpp
@@ -89,6 +89,24 @@
     return crashes > 0 && crashes + 1 >= quarantine_->crash_limit();
 }
 
+asio::awaitable<bool> request_router::claim_trial(const std::shared_ptr<routed_request>& request,
+                                                  service_state& state)
+{
+    if (!claim_trial_ || !quarantine_->next_trial(request->fingerprint, boot_clock::now()))
+        co_return false;
+    // The owner of a key stays registered for seconds after its end, and would not run the trial.
+    const auto target = choose_target(*request, state);
+    if (!target || quarantine_->is_reported(target->incarnation()))
+        co_return false;
+    const bool claimed = co_await claim_trial_(request->fingerprint);
+    log_(log_line("trial")
+             .add("id", request->id)
+             .add("fingerprint", request->fingerprint)
+             .add("claimed", claimed ? 1 : 0)
+             .text());
+    co_return claimed;
+}
+
 http_response request_router::make_quarantine_response(routed_request& request) const
 {
     auto response = make_failure_response(request, "quarantined because targets crashed", {});
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -328,8 +328,11 @@
             co_return make_failure_response(*request, "deadline exceeded", min_retry_after);
         }
         if (should_start_attempt(*request, now, hedge_at)) {
-            if (is_quarantined(*request) && !running)
-                co_return make_quarantine_response(*request);
+            if (is_quarantined(*request) && !running && !request->is_trial) {
+                request->is_trial = request->sends == 0 && co_await claim_trial(request, state);
+                if (!request->is_trial)
+                    co_return make_quarantine_response(*request);
+            }
             if (request->unknown_outcomes >= request->matched_route->max_attempts ||
                 (request->unknown_outcomes > 0 && is_last_crash_tolerated(*request)) ||
                 request->sends >= request->matched_route->max_attempts + extra_sends_after_refusal)
--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -31,6 +31,8 @@
     milliseconds restart_delay{900};
     /// Time from the end of a target until the store removes its registration.
     milliseconds expiry_delay{2600};
+    /// Whether the service is keyed.
+    bool keyed = false;
     /// Whether the next incarnation keeps the id.
     bool keeps_id = false;
 };
