Let a coordinator that reaches no target hand over its role

Cause: a coordinator that reaches the store but no target renews its claim, so no instance takes over, while its grants do not arrive. The keys expire 6 s after the last grant that did, and every instance gets misdirections. Logs: 547 lines grant_failed in 12 s and no change of the coordinator; 442 requests of the keyed service refused at the others since the retry budget was exhausted. It also takes all targets for unavailable, and gave most keys to three when the links came back.

Change: it appends a claim that is marked as resigned. The other instances take over after their jitter; an instance without links does not. The term rises with the next claim, also of the same session.

Evidence: front_link_tests, a data centre with the coordinator loses its links, twice, with a restart; stand-in targets now let grants expire. Simulations with that fault: no key with two holders, all keys held throughout.

--- a/include/teaseltally/ownership/assignment.hpp
+++ b/include/teaseltally/ownership/assignment.hpp
@@ -129,6 +129,8 @@
     /// advances faster than real time, so the difference of two log times is a lower bound of the time
     /// between them. A process that has just started computes the minimum age of older records from it.
     milliseconds log_time{0};
+    /// Whether the instance gives up the role, so that another one takes over at once.
+    bool resigned = false;
     bool operator==(const coordinator_claim&) const = default;
 };
 
--- a/include/teaseltally/ownership/range_manager.hpp
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -154,6 +154,10 @@
     /// @param is_coordinator whether the process reports that it coordinates.
     void record_coordinator_report(std::uint64_t session, bool is_coordinator);
 
+    /// Sets whether this instance can reach targets. A coordinator that cannot resigns, so that another
+    /// instance renews the grants, and an instance that cannot does not take over.
+    void set_targets_reachable(bool reachable) noexcept { targets_reachable_ = reachable; }
+
     /// Returns the actions that are due.
     /// @param now time, not before that of the previous call.
     [[nodiscard]] std::vector<ownership_action> tick(time_point now, const ownership_view& view);
@@ -233,9 +237,11 @@
 
     void watch_coordinator(time_point now, const ownership_view& view,
                            std::vector<ownership_action>& actions);
-    [[nodiscard]] append_order::record claim_record(time_point now, const ownership_log& log) const;
+    [[nodiscard]] append_order::record claim_record(time_point now, const ownership_log& log,
+                                                    bool resigned = false) const;
     void begin_term(time_point now, const ownership_view& view);
     void step_down();
+    void resign(time_point now, const ownership_view& view, std::vector<ownership_action>& actions);
     void reconcile(time_point now, const ownership_view& view);
     [[nodiscard]] service_ranges reconcile_service(time_point now, const ownership_log& log,
                                                    const assignment& committed, const service_ranges& before,
@@ -278,6 +284,9 @@
     ownership_timing timing_;
     milliseconds jitter_;
     bool is_coordinator_ = false;
+    bool targets_reachable_ = true;
+    /// Whether this instance has resigned since its last successful claim.
+    bool resigned_ = false;
     std::uint64_t term_ = 0;
     /// Time at which the last record before this term was read.
     time_point predecessor_last_record_at_{};
--- a/src/ownership/assignment.cpp
+++ b/src/ownership/assignment.cpp
@@ -205,6 +205,8 @@
     object["session"] = teaseltally::to_json(value.session);
     object["address"] = value.address;
     object["elapsed"] = Json::Value{static_cast<Json::Int64>(value.log_time.count())};
+    if (value.resigned)
+        object["resigned"] = true;
     return json_text(object);
 }
 
@@ -220,7 +222,8 @@
             "coordinator claim lacks a valid \"instance\", \"session\", \"address\" or \"elapsed\": " +
             json_text(object));
     return coordinator_claim{object["instance"].asString(), object["session"].asUInt64(),
-                             object["address"].asString(), milliseconds{object["elapsed"].asInt64()}};
+                             object["address"].asString(), milliseconds{object["elapsed"].asInt64()},
+                             object["resigned"].isBool() && object["resigned"].asBool()};
 }
 
 std::optional<error> ownership_log::apply(time_point now, std::string_view key, std::string_view value,
@@ -238,7 +241,7 @@
         if (const auto* problem = failure(decoded))
             return *problem;
         auto& claim = std::get<coordinator_claim>(decoded);
-        if (!claim_ || claim_->session != claim.session)
+        if (!claim_ || claim_->resigned || claim_->session != claim.session)
             term_ = offset;
         claim_ = std::move(claim);
         claim_read_at_ = now;
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -77,6 +77,10 @@
         step_down();
         return actions;
     }
+    if (!append_pending_ && !targets_reachable_) {
+        resign(now, view, actions);
+        return actions;
+    }
     if (!append_pending_)
         reconcile(now, view);
     if (!append_pending_ && !reread_after_)
@@ -89,15 +93,18 @@
 void range_manager::watch_coordinator(time_point now, const ownership_view& view,
                                       std::vector<ownership_action>& actions)
 {
-    if (append_pending_ || reread_after_ || now - view.last_read_sent_at > timing_.heartbeat_interval * 2)
+    if (append_pending_ || reread_after_ || !targets_reachable_ ||
+        now - view.last_read_sent_at > timing_.heartbeat_interval * 2)
         return;
-    if (view.log.claim() && view.log.claim()->session == self_.session) {
+    const auto& claim = view.log.claim();
+    if (claim && claim->session == self_.session && !claim->resigned && !resigned_) {
         begin_term(now, view);
         return;
     }
     const auto silent_since = std::max(first_tick_, view.log.last_record_at());
-    const bool no_coordinator = !view.log.claim() || (view.log.claim()->session == reported_session_ &&
-                                                      not_coordinator_reports_ >= reports_to_take_over);
+    const bool no_coordinator =
+        !claim || claim->resigned || claim->session == self_.session ||
+        (claim->session == reported_session_ && not_coordinator_reports_ >= reports_to_take_over);
     const auto silence_limit = no_coordinator ? jitter_ : timing_.takeover_timeout + jitter_;
     if (now - silent_since < silence_limit)
         return;
@@ -110,9 +117,11 @@
     actions.push_back(std::move(order));
 }
 
-append_order::record range_manager::claim_record(time_point now, const ownership_log& log) const
+append_order::record range_manager::claim_record(time_point now, const ownership_log& log,
+                                                 bool resigned) const
 {
     auto claim = self_;
+    claim.resigned = resigned;
     claim.log_time = log.log_time(now);
     return {std::string{ownership_log::claim_key}, encode(claim)};
 }
@@ -141,10 +150,22 @@
     authority_until_ = {};
 }
 
+void range_manager::resign(time_point now, const ownership_view& view, std::vector<ownership_action>& actions)
+{
+    step_down();
+    resigned_ = true;
+    append_pending_ = true;
+    append_order order;
+    order.records.push_back(claim_record(now, view.log, true));
+    order.expected_end = view.log.position();
+    actions.push_back(std::move(order));
+}
+
 void range_manager::on_append_completed(time_point now, append_status status)
 {
     append_pending_ = false;
     if (status == append_status::done) {
+        resigned_ = false;
         authority_until_ = std::max(authority_until_, append_sent_ + timing_.authority_duration);
         last_append_ = now;
         return;
--- a/tests/front_link_tests.cpp
+++ b/tests/front_link_tests.cpp
@@ -39,6 +39,15 @@
     open_connections connections = open_connections::silent;
 };
 
+/// Returns the numbers of the instances of the data centre of one of them.
+std::vector<std::size_t> data_centre_of(std::size_t instance)
+{
+    std::vector<std::size_t> instances;
+    for (std::size_t other = instance % 2; other < instance_count; other += 2)
+        instances.push_back(other);
+    return instances;
+}
+
 struct link_test {
     explicit link_test(const std::string& semantics, bool keyed)
         : site({semantics, behaviour_for(keyed), instance_count}), at_most_once(semantics == "unsafe")
@@ -173,6 +182,39 @@
     }
 }
 
+// Guards against keys whose owners get no grants since the coordinator has lost its links to the targets.
+TEST_CASE("keys stay served if the coordinator and its data centre lose their links to all targets")
+{
+    for (const auto connections : {open_connections::silent, open_connections::reset}) {
+        INFO(static_cast<int>(connections));
+        link_test test("safe", true);
+        run(test.site.io, [&]() -> asio::awaitable<void> {
+            co_await test.start();
+            const auto links =
+                connections == open_connections::silent ? target_links::silent : target_links::refused;
+            const link_cut first{data_centre_of(test.site.coordinator()), links, connections};
+            co_await test.cut(first, milliseconds{10'000});
+            co_await sleep_for(milliseconds{1000});
+            const auto coordinator = test.site.coordinator();
+            const link_cut second{data_centre_of(coordinator), links, connections};
+            // The cut comes back, and one of its instances restarts meanwhile.
+            test.site.set_target_links(second.instances, links, connections);
+            co_await sleep_for(milliseconds{1500});
+            test.site.fronts[coordinator]->kill();
+            test.site.fronts[coordinator]->start();
+            co_await test.site.wait_until_ready(coordinator);
+            co_await test.cut(second, milliseconds{8000});
+            co_await sleep_for(milliseconds{3000});
+            const auto calm_since = boot_clock::now();
+            co_await sleep_for(milliseconds{2000});
+            const auto calm = test.count(calm_since, boot_clock::now() - milliseconds{500}, {}, true);
+            CHECK(calm.share() >= min_served_share);
+            co_await test.stop();
+        });
+        test.check();
+    }
+}
+
 // Guards against requests that are held until their deadline although no instance can reach a target.
 TEST_CASE("if all instances lose their links to all targets, requests are refused at once")
 {
--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -87,6 +87,11 @@
         f.log_unreachable = 0.05;
         f.drain = 0.01;
     });
+    add("coordinators lose their links to all targets", [](ownership_faults& f) {
+        f.links_lost = 0.05;
+        f.log_unreachable = 0.02;
+        f.kill = 0.02;
+    });
     add("targets crash", [](ownership_faults& f) { f.crash = 0.03; });
     add("targets drain", [](ownership_faults& f) { f.drain = 0.005; });
     add("all faults", [](ownership_faults& f) {
@@ -100,6 +105,7 @@
              .kill = 0.02,
              .log_unreachable = 0.02,
              .target_unreachable = 0.02,
+             .links_lost = 0.02,
              .crash = 0.01,
              .drain = 0.002};
     });
@@ -137,6 +143,46 @@
 
 // Renewals need no append. A coordinator that is disconnected from the log must keep renewing grants until
 // its authority expires, 10.5 s after it sent its last successful append.
+// Guards against a coordinator that keeps its role although its grants do not arrive, until the keys expire.
+TEST_CASE("targets keep their keys if the coordinator loses its links to all targets")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        ownership_simulation simulation(seed, {}, 3, 6);
+        simulation.run(milliseconds{5000});
+        for (int cut = 0; cut < 3; ++cut) {
+            simulation.cut_links_of_coordinator(milliseconds{12'000});
+            for (int step = 0; step < 40; ++step) {
+                simulation.run(milliseconds{250});
+                CHECK(simulation.held_key_fraction() == 1.0);
+            }
+        }
+        CHECK(simulation.violations().empty());
+    }
+}
+
+// Guards against keys that nobody grants when the only instance has resigned and reaches the targets again.
+TEST_CASE("an instance that has resigned coordinates again when it reaches the targets")
+{
+    single_coordinator site(2);
+    for (int step = 0; step < 50; ++step)
+        site.step(milliseconds{100}, order_status::done);
+    REQUIRE(site.manager.is_coordinator());
+    const auto term = site.log.term();
+    site.manager.set_targets_reachable(false);
+    for (int step = 0; step < 50; ++step)
+        site.step(milliseconds{100}, order_status::not_sent);
+    CHECK_FALSE(site.manager.is_coordinator());
+    CHECK(site.log.claim()->resigned);
+    site.manager.set_targets_reachable(true);
+    site.grants.clear();
+    for (int step = 0; step < 10; ++step)
+        site.step(milliseconds{100}, order_status::done);
+    CHECK(site.manager.is_coordinator());
+    CHECK(site.log.term() > term);
+    CHECK_FALSE(site.grants.empty());
+}
+
 TEST_CASE("targets keep their keys during a 9 s outage of the log")
 {
     ownership_simulation simulation(6, {}, 3, 6);
--- a/tests/support/fake_target.cpp
+++ b/tests/support/fake_target.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <array>
+#include <cstdlib>
 
 namespace teaseltally::test {
 namespace {
@@ -111,7 +112,7 @@
     boost::system::error_code ignored;
     acceptor_.close(ignored);
     reset_connections();
-    held_keys_.reset();
+    held_until_.assign(key_count, {});
     running_ = 0;
     queue_.clear();
     asio::co_spawn(io_, restart(), asio::detached);
@@ -172,8 +173,11 @@
     const auto* order = std::get_if<Json::Value>(&parsed);
     if (order == nullptr || !order->isObject())
         return make_response(400, "malformed\n");
+    // A release names no time.
+    const auto held_until =
+        boot_clock::now() + milliseconds{std::atoi((*order)["hold_time"].asString().c_str())};
     for (auto key = (*order)["from"].asUInt(); key <= (*order)["target"].asUInt(); ++key)
-        held_keys_.set(key, request.target() == "/api/grant");
+        held_until_.at(key) = held_until;
     auto response = make_response(200, "");
     response.set("X-Instance-Id", id_);
     return response;
@@ -206,7 +210,7 @@
     };
     const auto key = request["X-Shard-Key"];
     const bool misses_key =
-        behaviour_.keyed && !held_keys_.test(std::stoul(std::string{key}));
+        behaviour_.keyed && held_until_.at(std::stoul(std::string{key})) <= boot_clock::now();
     if (request["X-Expected-Instance"] != id_ || misses_key) {
         response.result(http::status::misdirected_request);
         response.set("X-Not-Executed", "1");
--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -4,10 +4,10 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include <bitset>
 #include <deque>
 #include <optional>
 #include <set>
+#include <vector>
 
 /// @file
 /// Stand-in for a target on the platform. Requests with the header `X-Lethal` end it.
@@ -81,6 +81,7 @@
     void set_silent(std::set<asio::ip::address> callers) { silent_ = std::move(callers); }
 
 private:
+    static constexpr std::size_t key_count = 65'536;
     struct connection;
 
     void start_incarnation();
@@ -107,7 +108,8 @@
     tcp_endpoint endpoint_;
     std::set<std::shared_ptr<connection>> connections_;
     std::set<asio::ip::address> silent_;
-    std::bitset<65536> held_keys_;
+    /// Times until which the keys are held.
+    std::vector<time_point> held_until_ = std::vector<time_point>(key_count);
     std::string id_;
     unsigned ends_ = 0;
     unsigned running_ = 0;
--- a/tests/support/ownership_simulation.cpp
+++ b/tests/support/ownership_simulation.cpp
@@ -20,6 +20,9 @@
     time_point paused_until{};
     time_point stopped_until{};
     time_point log_unreachable_until{};
+    time_point links_lost_until{};
+    /// Time from which this instance knows that its links are lost.
+    time_point links_known_lost_from{};
     /// Time until which this instance cannot reach a target, by target id.
     std::map<std::string, time_point> unreachable_targets;
 };
@@ -84,6 +87,8 @@
 
 bool ownership_simulation::reaches(const simulated_instance& from, const std::string& id) const
 {
+    if (now_ < from.links_lost_until)
+        return false;
     if (const auto found = from.unreachable_targets.find(id);
         found != from.unreachable_targets.end() && now_ < found->second)
         return false;
@@ -91,6 +96,20 @@
         targets_, [&](const auto& target) { return target->incarnation.id == id && target->unreachable; });
 }
 
+void ownership_simulation::cut_links(simulated_instance& instance, milliseconds duration) const
+{
+    constexpr milliseconds detection_time{1000};
+    instance.links_lost_until = now_ + duration;
+    instance.links_known_lost_from = now_ + detection_time;
+}
+
+void ownership_simulation::cut_links_of_coordinator(milliseconds duration)
+{
+    for (auto& instance : instances_)
+        if (instance->manager && instance->manager->is_coordinator())
+            cut_links(*instance, duration);
+}
+
 void ownership_simulation::isolate_coordinator(const std::string& target, milliseconds duration)
 {
     for (auto& instance : instances_)
@@ -146,6 +165,8 @@
         if (occurs(faults_.target_unreachable))
             instance->unreachable_targets[targets_[random_() % targets_.size()]->incarnation.id] =
                 now_ + random_duration(1000, 15'000);
+        if (occurs(faults_.links_lost))
+            cut_links(*instance, random_duration(1000, 15'000));
         if (occurs(faults_.log_unreachable))
             instance->log_unreachable_until = now_ + random_duration(1000, 15'000);
     }
@@ -223,6 +244,8 @@
     read_log(instance);
     for (const auto& [key, rate] : hot_key_rates_)
         instance.manager->record_load(service, key, rate * 0.05);
+    instance.manager->set_targets_reachable(now_ < instance.links_known_lost_from ||
+                                            now_ >= instance.links_lost_until);
     const ownership_view view{instance.log, directory_, keyed_services_, instance.read_sent, true};
     for (auto& action : instance.manager->tick(now_, view))
         execute(instance, std::move(action));
--- a/tests/support/ownership_simulation.hpp
+++ b/tests/support/ownership_simulation.hpp
@@ -39,6 +39,9 @@
     double log_unreachable = 0;
     /// In each second, an instance loses its connection to a random target for 1 to 15 s.
     double target_unreachable = 0;
+    /// In each second, an instance loses its connections to all targets for 1 to 15 s and detects that after
+    /// 1 s.
+    double links_lost = 0;
     /// In each second, a target crashes and starts again with another id after 0.5 to 6 s.
     double crash = 0;
     /// In each second, a target begins to drain.
@@ -72,6 +75,8 @@
     /// Disconnects the coordinator from the log, and all other instances from a target, for a time span. Only
     /// the old coordinator can then renew the grants of the target.
     void isolate_coordinator(const std::string& target, milliseconds duration);
+    /// Disconnects the coordinator from all targets for a time span; it detects that after 1 s.
+    void cut_links_of_coordinator(milliseconds duration);
     /// Kills each instance that coordinates and is connected to the log. It starts again after 0.5 s.
     void kill_coordinator();
     /// Makes a target start to drain.
@@ -109,6 +114,7 @@
                         order_status status, std::string handover);
     void read_log(simulated_instance& instance);
     void inject_faults();
+    void cut_links(simulated_instance& instance, milliseconds duration) const;
     void restart_target(simulated_target& target);
     void check_grants();
     [[nodiscard]] bool occurs(double probability);
