Pass no promise on from a target that has executed the request

Cause: a signed response without the header for requests that were not executed counts as the target's answer and passed unchanged, whatever its status; a 421 counted as a misdirection even when it was signed.

Change: the caller of a request that may run once gets 502 without the signature, and the log names the target's status. A signed 421 without that header is an answer. Responses to idempotent requests pass unchanged. Whether the users' targets answer so is not known (docs/QUESTIONS.md).

--- a/src/net/request_attempts.cpp
+++ b/src/net/request_attempts.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace teaseltally {
@@ -16,6 +17,13 @@
 constexpr double moving_average_weight = 0.1;
 constexpr double us_per_s = 1e6;
 
+/// Returns whether a status tells callers that their request was not and will not be executed.
+bool promises_no_execution(unsigned status)
+{
+    constexpr std::array<unsigned, 4> promises{408, 421, 429, 503};
+    return std::ranges::find(promises, status) != promises.end();
+}
+
 bool is_hop_by_hop(const http_request::const_iterator::value_type& field)
 {
     switch (field.name()) {
@@ -184,6 +192,14 @@
     case exchange_status::answered:
         request.cause = "answered";
         request.relay_outcome = relay_status::answered;
+        if (request.matched_route->semantics == execution_semantics::at_most_once &&
+            promises_no_execution(result.response.result_int())) {
+            request.may_have_executed = true;
+            return make_failure_response(request,
+                                         "the target executed the request and answered with status " +
+                                             std::to_string(result.response.result_int()),
+                                         {});
+        }
         return std::move(result.response);
     case exchange_status::not_executed:
         if (!result.connected)
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -129,11 +129,13 @@
                 "response without the id of the request, status " + std::to_string(response.result_int());
             return exchange_status::outcome_unknown;
         }
-        if (response.result() == http::status::misdirected_request)
+        const bool not_executed = !response[headers_.not_executed].empty();
+        const bool is_signed = !response[headers_.signature].empty();
+        if (response.result() == http::status::misdirected_request && (not_executed || !is_signed))
             return exchange_status::misdirected;
-        if (!response[headers_.not_executed].empty())
+        if (not_executed)
             return exchange_status::not_executed;
-        if (response[headers_.signature].empty() || !response[http::field::content_encoding].empty()) {
+        if (!is_signed || !response[http::field::content_encoding].empty()) {
             result.reason = "response without the target's signature or with a content encoding, status " +
                             std::to_string(response.result_int());
             return exchange_status::outcome_unknown;
--- a/tests/front_failure_tests.cpp
+++ b/tests/front_failure_tests.cpp
@@ -26,6 +26,10 @@
                                          {"no id", target_failure::without_id},
                                          {"another id", target_failure::other_id},
                                          {"unsigned 503", target_failure::unsigned_503},
+                                         {"signed 503", target_failure::signed_503},
+                                         {"signed 429", target_failure::signed_429},
+                                         {"signed 408", target_failure::signed_408},
+                                         {"signed 421", target_failure::signed_421},
                                          {"silence", target_failure::silence},
                                          {"late copies of refusals", target_failure::late_refusal}};
 
