Bound the memory for responses of targets that send without end

Callers of other targets lose an instance that runs out of memory: a body without a length was received up to 64 MB, each one for itself, and its buffer doubles as it grows; the smallest instances have 160 MB. Interim responses were skipped without a limit until the deadline.

Change: responses that are being received share 32 MB, one has at most 16 MB, and more than eight interim responses end the attempt. Heads and garbage without end were bounded before.

--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -224,6 +224,8 @@
     [[nodiscard]] traffic_report extract_traffic();
 
 private:
+    /// Memory for responses that are being received; the smallest instances have 160 MB in all.
+    static constexpr std::size_t max_response_memory = 32U << 20U;
     /// Number of instances assumed until the actual number is known; high, so that the shared limits are not
     /// exceeded.
     static constexpr unsigned assumed_instance_count = 40;
@@ -335,6 +337,7 @@
     asio::any_io_executor executor_;
     router_settings settings_;
     log_sink log_;
+    response_memory response_memory_{max_response_memory};
     std::shared_ptr<const route_table> table_;
     std::map<std::string, std::shared_ptr<target_node>, std::less<>> targets_;
     std::map<std::string, service_state, std::less<>> services_;
--- a/include/teaseltally/net/target_node.hpp
+++ b/include/teaseltally/net/target_node.hpp
@@ -34,6 +34,29 @@
     bool reused = false;
 };
 
+/// Memory for responses of targets that are being received, over all targets.
+class response_memory {
+public:
+    /// @param max_bytes maximum number of bytes held at the same time.
+    explicit response_memory(std::size_t max_bytes) : max_bytes_(max_bytes) {}
+
+    /// Changes the number of bytes that one response holds.
+    /// @returns false if the maximum would be exceeded; then nothing changes.
+    [[nodiscard]] bool try_resize(std::size_t from, std::size_t to) noexcept
+    {
+        if (to > from && bytes_ + (to - from) > max_bytes_)
+            return false;
+        bytes_ += to - from;
+        return true;
+    }
+    /// Returns the number of bytes held.
+    [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
+
+private:
+    std::size_t max_bytes_;
+    std::size_t bytes_ = 0;
+};
+
 /// Target as known to one instance: its registration, its load and its connections. Not thread-safe.
 class target_node {
 public:
@@ -148,10 +171,11 @@
 /// @param connection connection that was acquired from `node`. Its socket may be closed to cancel the
 /// exchange.
 /// @param deadline time at which the exchange is abandoned.
+/// @param memory memory for the response; it outlives the exchange, which fails when the memory is used up.
 /// @returns the outcome; errors are reported in it.
 [[nodiscard]] asio::awaitable<exchange_result>
 exchange_with_target(std::shared_ptr<target_node> node, std::shared_ptr<const http_request> request,
                      const header_names& headers, std::unique_ptr<target_connection> connection,
-                     time_point deadline);
+                     time_point deadline, response_memory& memory);
 
 } // namespace teaseltally
--- a/src/net/request_attempts.cpp
+++ b/src/net/request_attempts.cpp
@@ -97,8 +97,9 @@
                                                   std::unique_ptr<target_connection> connection)
 {
     const auto message = build_target_request(*request, *attempt->target);
-    attempt->result = co_await exchange_with_target(attempt->target, message, settings_.headers,
-                                                    std::move(connection), request->deadline);
+    attempt->result =
+        co_await exchange_with_target(attempt->target, message, settings_.headers, std::move(connection),
+                                      request->deadline, response_memory_);
     attempt->stream = nullptr;
     attempt->ended = true;
     attempt->ended_at = boot_clock::now();
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -26,7 +26,9 @@
 /// Time limit for reading a response that the target sent before the write of the request failed.
 constexpr milliseconds early_response_timeout{100};
 /// Maximum size of a response body.
-constexpr std::size_t max_response_bytes = 64U << 20U;
+constexpr std::size_t max_response_bytes = 16U << 20U;
+/// Maximum number of interim responses (1xx) before the response to a request.
+constexpr int max_interim_responses = 8;
 /// Maximum number of responses to other requests that one exchange skips; after one more, it fails.
 constexpr int max_mismatched_responses = 4;
 
@@ -71,26 +73,51 @@
     return lost ? connection_failure::lost : connection_failure::none;
 }
 
+/// Memory that one response holds until it has been received.
+class response_memory_guard {
+public:
+    explicit response_memory_guard(response_memory& memory) : memory_(memory) {}
+    ~response_memory_guard() { static_cast<void>(memory_.try_resize(bytes_, 0)); }
+    response_memory_guard(const response_memory_guard&) = delete;
+    response_memory_guard& operator=(const response_memory_guard&) = delete;
+    response_memory_guard(response_memory_guard&&) = delete;
+    response_memory_guard& operator=(response_memory_guard&&) = delete;
+
+    /// Sets the number of bytes that the response holds.
+    /// @returns false if the memory is used up.
+    [[nodiscard]] bool resize(std::size_t bytes)
+    {
+        if (!memory_.try_resize(bytes_, bytes))
+            return false;
+        bytes_ = bytes;
+        return true;
+    }
+
+private:
+    response_memory& memory_;
+    std::size_t bytes_ = 0;
+};
+
 /// Reads responses until one belongs to the request, or too many belong to other requests.
 class response_reader {
 public:
-    response_reader(target_connection& connection, const http_request& request, const header_names& headers)
+    response_reader(target_connection& connection, const http_request& request, const header_names& headers,
+                    response_memory& memory)
         : connection_(connection), request_id_(request[headers.request_id]), headers_(headers),
-          is_head_request_(request.method() == http::verb::head)
+          memory_(memory), is_head_request_(request.method() == http::verb::head)
     {
     }
 
     asio::awaitable<void> read(exchange_result& result)
     {
-        for (int mismatched = 0; mismatched <= max_mismatched_responses;) {
+        int interim = 0;
+        for (int mismatched = 0;
+             mismatched <= max_mismatched_responses && interim <= max_interim_responses;) {
             http::response_parser<http::string_body> parser;
-            parser.body_limit(max_response_bytes);
-            parser.skip(is_head_request_);
-            const auto [failed, count] =
-                co_await http::async_read(connection_.stream, connection_.buffer, parser, as_result);
+            const auto failed = co_await read_one(parser);
             if (failed) {
                 result.stale_connection =
-                    connection_.reused && count == 0 && mismatched == 0 && failed != beast::error::timeout;
+                    connection_.reused && !received_bytes_ && failed != beast::error::timeout;
                 result.failure = failure_of(failed);
                 result.reason = failed.message();
                 co_return;
@@ -98,8 +125,10 @@
             const bool self_delimited = !parser.get().need_eof();
             const bool keep_alive = parser.keep_alive();
             result.response = parser.release();
-            if (result.response.result_int() < 200)
+            if (result.response.result_int() < 200) {
+                ++interim;
                 continue;
+            }
             const auto id = result.response[headers_.request_id];
             if (!id.empty() && id != request_id_) {
                 ++mismatched;
@@ -111,12 +140,32 @@
             co_return;
         }
         result.reason =
-            "more than " + std::to_string(max_mismatched_responses) + " responses to other requests";
+            interim > max_interim_responses
+                ? "more than " + std::to_string(max_interim_responses) + " interim responses"
+                : "more than " + std::to_string(max_mismatched_responses) + " responses to other requests";
     }
 
     [[nodiscard]] bool reusable() const noexcept { return reusable_; }
 
 private:
+    [[nodiscard]] asio::awaitable<error_code> read_one(http::response_parser<http::string_body>& parser)
+    {
+        response_memory_guard held(memory_);
+        parser.body_limit(max_response_bytes);
+        parser.skip(is_head_request_);
+        parser.eager(true);
+        while (!parser.is_done()) {
+            const auto [failed, count] =
+                co_await http::async_read_some(connection_.stream, connection_.buffer, parser, as_result);
+            received_bytes_ = received_bytes_ || count > 0;
+            if (failed)
+                co_return failed;
+            if (!held.resize(parser.get().body().size()))
+                co_return make_error_code(boost::system::errc::not_enough_memory);
+        }
+        co_return error_code{};
+    }
+
     [[nodiscard]] exchange_status classify(exchange_result& result, bool identified) const
     {
         const auto& response = result.response;
@@ -146,7 +195,9 @@
     target_connection& connection_;
     beast::string_view request_id_;
     const header_names& headers_;
+    response_memory& memory_;
     bool is_head_request_;
+    bool received_bytes_ = false;
     bool reusable_ = false;
 };
 
@@ -212,7 +263,7 @@
                                                       std::shared_ptr<const http_request> request,
                                                       const header_names& headers,
                                                       std::unique_ptr<target_connection> connection,
-                                                      time_point deadline)
+                                                      time_point deadline, response_memory& memory)
 {
     exchange_result result;
     auto& stream = connection->stream;
@@ -236,7 +287,7 @@
     const auto [write_failed, written] = co_await http::async_write(stream, serializer, as_result);
     if (write_failed)
         stream.expires_after(early_response_timeout);
-    response_reader reader(*connection, *request, headers);
+    response_reader reader(*connection, *request, headers, memory);
     co_await reader.read(result);
     if (reader.reusable() && !write_failed) {
         stream.expires_never();
--- a/tests/front_failure_tests.cpp
+++ b/tests/front_failure_tests.cpp
@@ -31,6 +31,10 @@
                                          {"signed 408", target_failure::signed_408},
                                          {"signed 421", target_failure::signed_421},
                                          {"silence", target_failure::silence},
+                                         {"endless head", target_failure::endless_head},
+                                         {"endless body", target_failure::endless_body},
+                                         {"endless interim responses", target_failure::endless_interim},
+                                         {"endless garbage", target_failure::endless_garbage},
                                          {"late copies of refusals", target_failure::late_refusal}};
 
 bool is_promise(unsigned status)
@@ -117,7 +121,8 @@
 
 } // namespace
 
-// Guards against callers that are told that a request was not executed although it was (REFUSED).
+// Guards against callers that are told that a request was not executed although it was (REFUSED), and against
+// targets that send without end.
 TEST_CASE("whichever way targets fail after they have executed requests, no caller gets a false promise")
 {
     check_failures("unsafe", false);
--- a/tests/target_exchange_tests.cpp
+++ b/tests/target_exchange_tests.cpp
@@ -195,6 +195,11 @@
         {"refusal without execution", refusal_response, false, exchange_status::not_executed},
         {"misdirected request", "HTTP/1.1 421 No\r\ntt-request-id: q\r\nContent-Length: 0\r\n\r\n", false,
          exchange_status::misdirected},
+        {"signed misdirection, which the target must have executed",
+         "HTTP/1.1 421 No\r\ntt-request-id: q\r\ntt-signature: s\r\nContent-Length: 0\r\n\r\n", false,
+         exchange_status::answered},
+        {"body beyond the memory for responses", signed_response("q", std::string(2U << 20U, 'x')), false,
+         exchange_status::outcome_unknown},
         {"refusal without a request id",
          "HTTP/1.1 503 Busy\r\ntt-not-executed: 1\r\nContent-Length: 0\r\n\r\n", false,
          exchange_status::outcome_unknown}};
@@ -208,11 +213,12 @@
         auto request = std::make_shared<http_request>(make_request(http::verb::get, "/"));
         const header_names headers;
         request->set(headers.request_id, "q");
+        response_memory memory(1U << 20U);
         exchange_result result;
         run(io, [&]() -> asio::awaitable<void> {
             auto connection = node->acquire(boot_clock::now(), 4, "");
-            result =
-                co_await exchange_with_target(node, request, headers, std::move(connection), hang_deadline());
+            result = co_await exchange_with_target(node, request, headers, std::move(connection),
+                                                   hang_deadline(), memory);
         });
         CHECK(result.status == example.expected_status);
         if (example.expected_status == exchange_status::outcome_unknown)
