--- a/src/net/request_attempts.cpp
+++ b/src/net/request_attempts.cpp
@@ -24,6 +24,12 @@
     return std::ranges::find(promises, status) != promises.end();
 }
 
+/// Returns host and path of a request, for the log.
+std::string request_path(const http_request& message)
+{
+    return std::string{message[http::field::host]} + std::string{message.target()};
+}
+
 bool is_hop_by_hop(const http_request::const_iterator::value_type& field)
 {
     switch (field.name()) {
@@ -177,6 +183,8 @@
              .add("id", request.id)
              .add("fingerprint", request.fingerprint)
              .add("caller", request.caller.to_string())
+             .add("method", request.message.method_string())
+             .add("path", request_path(request.message))
              .add("target", attempt.target->entry().id)
              .add("reason", attempt.result.reason)
              .add("sends", request.sends)
