--- a/tests/support/linked_front.cpp
+++ b/tests/support/linked_front.cpp
@@ -50,7 +50,8 @@
         return static_cast<int>(::syscall(SYS_connect, socket, address, size));
     // Targets tell the instances apart by the addresses from which they connect.
     const auto source = address_from("TEASELTALLY_TEST_SOURCE");
-    ::bind(socket, reinterpret_cast<const sockaddr*>(&source), sizeof(source));
+    if (::bind(socket, reinterpret_cast<const sockaddr*>(&source), sizeof(source)) != 0)
+        return -1;
     auto to = *reinterpret_cast<const sockaddr_in*>(address);
     if ((ntohl(to.sin_addr.s_addr) & host_mask) < first_target_host)
         return static_cast<int>(connect_to(socket, to));
