Let the kernel choose the source ports of the front tests for whole connections

Concluded, not traced: the tests bind the source addresses of callers and, since the links can be cut, of instances. A port that bind reserves is lost to all addresses while its connection is remembered, and these tests leave 50,000 such connections.

--- a/tests/support/front_deployment.hpp
+++ b/tests/support/front_deployment.hpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <netinet/in.h>
 #include <set>
 
 /// @file
@@ -71,6 +72,9 @@
     caller_answer answer{boot_clock::now(), {}, 0, {}, sent.id};
     boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
     stream.socket().open(front.protocol());
+    // A port that bind reserves stays unusable for all addresses until its connection is forgotten.
+    stream.socket().set_option(
+        asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>(true));
     stream.socket().bind({asio::ip::make_address(sent.caller), 0});
     stream.expires_after(sent.patience);
     auto request = make_request(http::verb::get, sent.path);
--- a/tests/support/linked_front.cpp
+++ b/tests/support/linked_front.cpp
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <cstdlib>
 #include <fstream>
+#include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
 #include <sys/syscall.h>
@@ -50,7 +51,10 @@
         return static_cast<int>(::syscall(SYS_connect, socket, address, size));
     // Targets tell the instances apart by the addresses from which they connect.
     const auto source = address_from("TEASELTALLY_TEST_SOURCE");
-    if (::bind(socket, reinterpret_cast<const sockaddr*>(&source), sizeof(source)) != 0)
+    // The port is chosen for the whole connection; one reserved by bind would be lost to all other addresses.
+    const int enabled = 1;
+    if (::setsockopt(socket, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &enabled, sizeof(enabled)) != 0 ||
+        ::bind(socket, reinterpret_cast<const sockaddr*>(&source), sizeof(source)) != 0)
         return -1;
     auto to = *reinterpret_cast<const sockaddr_in*>(address);
     if ((ntohl(to.sin_addr.s_addr) & host_mask) < first_target_host)
