--- /dev/null
+++ b/include/teaseltally/net/request_relay.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <teaseltally/net/header_names.hpp>
+#include <teaseltally/net/http.hpp>
+#include <teaseltally/net/peer_feed.hpp>
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// @file
+/// Passes requests to other instances that can reach the targets.
+
+namespace teaseltally {
+
+/// Path of relayed requests on the peer interface.
+inline constexpr std::string_view relay_path = "/relay";
+
+/// A caller's request as it is passed to another instance.
+struct relayed_request {
+    /// Request of the caller; its deadline header holds the time that is left.
+    http_request message;
+    /// IP address of the caller.
+    asio::ip::address caller;
+    /// Service that the sender has chosen among the backends of the route.
+    std::string service;
+    /// Number of attempts that the sender has made.
+    unsigned sends = 0;
+    /// Number of these attempts that the target may have executed without a response.
+    unsigned unknown_outcomes = 0;
+};
+
+/// What became of a relayed request.
+enum class relay_status {
+    /// The response is a target's own.
+    answered,
+    /// The other instance refused the request for all instances, for instance because of a limit; it was not
+    /// executed.
+    refused,
+    /// The other instance reaches no target or does not know the route; the request was not executed, and
+    /// another instance may be asked.
+    declined,
+    /// The other instance cannot reach the one target that may execute the request; it was not executed.
+    target_unreachable,
+    /// A target may have executed the request.
+    outcome_unknown,
+};
+
+/// Result of a relayed request.
+struct relay_result {
+    /// Outcome of the relayed request.
+    relay_status status = relay_status::declined;
+    /// Response for the caller; empty if the other instance sent none.
+    http_response response;
+    /// Numbers of attempts and of attempts with unknown outcome, including those before the request was
+    /// relayed.
+    unsigned sends = 0;
+    unsigned unknown_outcomes = 0;
+    /// Whether the other instance responded.
+    bool responded = false;
+};
+
+/// Returns the message that carries a relayed request.
+[[nodiscard]] http_request encode_relayed_request(const relayed_request& request);
+/// Parses the message of a relayed request.
+/// @returns the request, or nothing if the message is malformed.
+[[nodiscard]] std::optional<relayed_request> decode_relayed_request(http_request message);
+/// Returns the message that carries the result of a relayed request: its response with further headers.
+[[nodiscard]] http_response encode_relay_result(relay_result result);
+/// Parses the message of a result.
+/// @returns the result with the outcome `outcome_unknown` if the message is malformed.
+[[nodiscard]] relay_result decode_relay_result(http_response message);
+
+/// Chooses the instances that requests are passed to. An instance that is unreachable or declines requests is
+/// not asked again for a time.
+class request_relay {
+public:
+    /// @param client client for relayed requests; it outlives the relay.
+    /// @param instance name of this instance.
+    /// @param data_centre data centre of this instance, whose instances are preferred.
+    request_relay(http_client& client, std::string instance, std::string data_centre)
+        : client_(client), instance_(std::move(instance)), data_centre_(std::move(data_centre))
+    {
+    }
+
+    /// Replaces the list of instances; it may include this instance.
+    void set_members(std::vector<feed_member> members) { members_ = std::move(members); }
+    /// Chooses an instance.
+    /// @param asked names of the instances that have been asked already.
+    /// @returns the instance, or nothing if all have been asked or have failed recently.
+    [[nodiscard]] std::optional<feed_member> choose(const std::set<std::string>& asked, time_point now);
+    /// Passes a request to an instance. The exchange is closed when the coroutine is cancelled, and the other
+    /// instance then treats the caller as gone.
+    /// @param deadline time by which the result is needed.
+    [[nodiscard]] asio::awaitable<relay_result> send(feed_member to, relayed_request request,
+                                                     time_point deadline);
+
+private:
+    /// State of one other instance.
+    struct peer_state {
+        unsigned in_flight = 0;
+        unsigned failures = 0;
+        time_point backoff_until{};
+    };
+
+    http_client& client_;
+    std::string instance_;
+    std::string data_centre_;
+    std::vector<feed_member> members_;
+    std::map<std::string, peer_state, std::less<>> peers_;
+    std::mt19937_64 random_{std::random_device{}()};
+};
+
+} // namespace teaseltally
--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -2,12 +2,16 @@
 
 #include <teaseltally/admission/crash_quarantine.hpp>
 #include <teaseltally/admission/retry_token_bucket.hpp>
+#include <teaseltally/knowledge/target_reachability.hpp>
 #include <teaseltally/knowledge/traffic_report.hpp>
 #include <teaseltally/net/notifier.hpp>
+#include <teaseltally/net/request_relay.hpp>
 #include <teaseltally/net/target_node.hpp>
 #include <teaseltally/ownership/assignment.hpp>
 #include <teaseltally/routing/route_table.hpp>
 
+#include <boost/asio/cancellation_signal.hpp>
+
 #include <functional>
 #include <list>
 #include <map>
@@ -55,6 +59,20 @@
     exchange_result result;
 };
 
+/// One attempt to have a request executed through another instance.
+struct relay_attempt {
+    /// Name of the instance that was asked.
+    std::string instance;
+    /// Cancels the exchange with the instance.
+    asio::cancellation_signal cancel;
+    /// Whether the exchange has ended.
+    bool ended = false;
+    /// Whether the coroutine that routes the request has handled the result.
+    bool handled = false;
+    /// Result; set when the exchange has ended.
+    relay_result result;
+};
+
 /// A request of a caller and the state of its routing.
 class routed_request {
 public:
@@ -102,11 +120,27 @@
     unsigned unknown_outcomes = 0;
     /// Incarnation of the limited target for which a permit is needed.
     std::string limited_target;
+    /// Whether another instance passed on the request; it is not passed on again.
+    bool is_relayed = false;
+    /// Number of attempts that were made before this instance received the request.
+    unsigned earlier_sends = 0;
+    /// Names of the instances that the request was passed to.
+    std::set<std::string> asked_instances;
+    /// Latest attempt through another instance; null if there was none.
+    std::shared_ptr<relay_attempt> relay;
+    /// How the request ended, for the instance that passed it on.
+    relay_status relay_outcome = relay_status::refused;
     /// Whether the request is the trial of its quarantined fingerprint.
     bool is_trial = false;
     /// Whether a target may have executed the request, at least in part.
     bool may_have_executed = false;
 
+    /// Returns whether an attempt has not ended.
+    [[nodiscard]] bool has_running_attempt() const;
+    /// Returns whether an attempt through another instance has not ended.
+    [[nodiscard]] bool is_relay_running() const { return relay && !relay->ended; }
+    /// Returns whether the next attempt repeats one of this instance, so that it needs a retry token.
+    [[nodiscard]] bool needs_retry_token() const { return sends > earlier_sends; }
     /// Closes the connections of attempts that have not ended.
     void cancel_attempts();
     /// Records that the caller has closed its connection, and wakes the coroutine.
@@ -161,6 +195,19 @@
         request_permits_ = std::move(request_permits);
         report_limit_ = std::move(report);
     }
+    /// Sets the relay, which passes requests to other instances when this one cannot reach the targets.
+    /// Without one, such requests are refused.
+    /// @param relay outlives the router.
+    void set_relay(request_relay& relay) { relay_ = &relay; }
+    /// Probes targets if the links to them may be lost; called periodically.
+    void check_links();
+    /// Returns whether this instance can reach none of the targets.
+    [[nodiscard]] bool is_isolated() const noexcept { return reachability_.is_isolated(); }
+    /// Records that an order to a target was answered, or that it was not.
+    void record_order_outcome(const std::string& target, bool answered);
+    /// Routes a request that another instance passed on.
+    /// @returns the message of its result.
+    [[nodiscard]] asio::awaitable<http_response> serve_relayed(relayed_request received);
     /// Wakes the requests that wait for the owner of their key.
     void on_ownership_changed();
     /// Sets the number of instances that share the limits on retries and connections; zero counts as one.
@@ -195,8 +242,12 @@
     };
 
     class waiting_guard;
+    class attempts_guard;
+    /// Interval between probes of the links while no target can be reached.
+    static constexpr milliseconds link_probe_interval{500};
 
     [[nodiscard]] service_state& state_of(const std::string& service);
+    /// Finds the route and the service of a request.
     [[nodiscard]] std::optional<http_response> prepare(routed_request& request);
     [[nodiscard]] std::string choose_backend(const routed_request& request);
     [[nodiscard]] std::shared_ptr<target_node> choose_target(const routed_request& request,
@@ -207,6 +258,24 @@
                                                         bool granted = true) const;
     [[nodiscard]] bool may_send_to_owner(const routed_request& request, const target_node& owner) const;
     [[nodiscard]] bool has_capacity(target_node& node, bool keyed) const;
+    /// Returns whether a request is to be passed to another instance instead of being sent to a target.
+    [[nodiscard]] bool should_relay(const routed_request& request, service_state& state);
+    /// Returns the name under which failures to reach the targets of a request through others are remembered.
+    [[nodiscard]] std::string relay_backoff_name(const routed_request& request) const;
+    /// Passes a request to another instance.
+    /// @returns false if there is none to ask.
+    bool start_relay(const std::shared_ptr<routed_request>& request);
+    [[nodiscard]] asio::awaitable<void> run_relay(std::shared_ptr<routed_request> request,
+                                                  std::shared_ptr<relay_attempt> attempt, feed_member to);
+    [[nodiscard]] std::optional<http_response> handle_relay_result(routed_request& request);
+    /// Records the end of the isolation, or that a target was reached.
+    void record_contact();
+    /// Probes several targets and records whether any of them can be reached.
+    [[nodiscard]] asio::awaitable<void> probe_links();
+    [[nodiscard]] asio::awaitable<void> probe_link(tcp_endpoint endpoint);
+    void begin_isolation();
+    /// Returns the response to a relayed request if this instance cannot reach its target.
+    [[nodiscard]] std::optional<http_response> decline(routed_request& request) const;
     [[nodiscard]] bool should_start_attempt(const routed_request& request, time_point now,
                                             time_point hedge_at) const;
     enum class attempt_start { started, blocked, permit_needed };
@@ -274,6 +343,13 @@
     trial_claim claim_trial_;
     /// Incarnations of targets that are being probed.
     std::set<std::string> probed_incarnations_;
+    request_relay* relay_ = nullptr;
+    target_reachability reachability_;
+    bool probing_links_ = false;
+    time_point next_link_probe_at_{};
+    /// Times before which requests are not passed on, because the other instances cannot reach a target or
+    /// the targets of a service either.
+    std::map<std::string, time_point, std::less<>> relay_backoffs_;
     permit_holder* permits_ = nullptr;
     permit_source request_permits_;
     limit_report report_limit_;
--- a/include/teaseltally/net/target_node.hpp
+++ b/include/teaseltally/net/target_node.hpp
@@ -61,6 +61,16 @@
     void release(std::unique_ptr<target_connection> connection);
     /// Closes a connection.
     void discard(std::unique_ptr<target_connection> connection);
+    /// Returns whether a connection is idle, that is, whether a request may need no new one.
+    [[nodiscard]] bool has_idle_connection() const noexcept { return !idle_connections_.empty(); }
+    /// Records whether a new connection was established.
+    /// @param at time when it was established or failed.
+    void record_connection(bool established, time_point at) noexcept
+    {
+        connection_failed_at_ = established ? time_point{} : at;
+    }
+    /// Returns the time of the last failure to connect if no connection was established since.
+    [[nodiscard]] time_point connection_failed_at() const noexcept { return connection_failed_at_; }
     /// Returns the number of connections that are idle or in use.
     [[nodiscard]] unsigned open_connections() const noexcept { return open_connections_; }
     /// Closes idle connections.
@@ -75,6 +85,7 @@
     target_load load_;
     std::vector<std::unique_ptr<target_connection>> idle_connections_;
     unsigned open_connections_ = 0;
+    time_point connection_failed_at_{};
 };
 
 /// Result of an exchange with a target.
--- a/src/net/request_attempts.cpp
+++ b/src/net/request_attempts.cpp
@@ -78,6 +78,7 @@
     auto& load = attempt->target->load();
     attempt->occupancy = load.occupancy(now) + 1;
     load.on_request_sent(now);
+    reachability_.on_request_sent(now);
     ++request->sends;
     request->attempts.push_back(attempt);
     asio::co_spawn(executor_, run_attempt(request, attempt, std::move(connection)), asio::detached);
@@ -116,8 +117,13 @@
     const auto now = boot_clock::now();
     auto& load = attempt.target->load();
     load.on_request_ended();
+    reachability_.on_request_ended();
     auto& state = state_of(request.service);
     const auto& result = attempt.result;
+    if (!result.connected)
+        reachability_.on_connection_failed(attempt.target->entry().id);
+    else if (result.status != exchange_status::outcome_unknown || result.failure == connection_failure::none)
+        record_contact();
     if (result.load)
         load.on_load_report(now, *result.load);
     if (!state.waiting.empty()) {
@@ -177,6 +183,7 @@
     switch (result.status) {
     case exchange_status::answered:
         request.cause = "answered";
+        request.relay_outcome = relay_status::answered;
         return std::move(result.response);
     case exchange_status::not_executed:
         if (!result.connected)
@@ -188,6 +195,7 @@
         return std::nullopt;
     case exchange_status::outcome_unknown:
         request.may_have_executed = true;
+        request.relay_outcome = relay_status::outcome_unknown;
         ++request.unknown_outcomes;
         request.cause = "outcome unknown: " + result.reason;
         if (request.matched_route->semantics == execution_semantics::at_most_once)
--- a/src/net/request_crashes.cpp
+++ b/src/net/request_crashes.cpp
@@ -35,7 +35,8 @@
             quarantine_->on_target_alive(incarnation, attempt.started);
     if (result.status == exchange_status::answered)
         quarantine_->on_request_completed(request.fingerprint);
-    if (result.failure == connection_failure::refused)
+    // A cut of the links may refuse connections too.
+    if (result.failure == connection_failure::refused && !is_isolated())
         record_target_end(*attempt.target);
     // The target may still run an abandoned request. Most abandoned requests are innocent: their callers left
     // or a hedged attempt was faster.
@@ -96,7 +97,7 @@
 asio::awaitable<bool> request_router::claim_trial(const std::shared_ptr<routed_request>& request,
                                                   service_state& state)
 {
-    if (!claim_trial_ || !quarantine_->next_trial(request->fingerprint, boot_clock::now()))
+    if (!claim_trial_ || is_isolated() || !quarantine_->next_trial(request->fingerprint, boot_clock::now()))
         co_return false;
     // The owner of a key stays registered for seconds after its end, and would not run the trial.
     const auto target = choose_target(*request, state);
--- /dev/null
+++ b/src/net/request_relay.cpp
@@ -0,0 +1,176 @@
+#include <teaseltally/count_guard.hpp>
+#include <teaseltally/net/request_relay.hpp>
+
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace teaseltally {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr auto method_header = "tt-relay-method";
+constexpr auto target_header = "tt-relay-target";
+constexpr auto caller_header = "tt-relay-caller";
+constexpr auto service_header = "tt-relay-service";
+constexpr auto body_header = "tt-relay-body";
+constexpr auto sends_header = "tt-relay-sends";
+constexpr auto unknown_outcomes_header = "tt-relay-unknown";
+constexpr auto status_header = "tt-relay-status";
+constexpr std::array status_names{"answered", "refused", "declined", "target_unreachable", "unknown"};
+
+constexpr milliseconds min_backoff{500};
+constexpr milliseconds max_backoff{4000};
+constexpr unsigned max_backoff_doublings = 3;
+/// Number of random candidates among which the one with the fewest relayed requests is chosen.
+constexpr std::size_t candidate_count = 2;
+
+std::string text_of(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::optional<unsigned> parse_count(boost::beast::string_view text)
+{
+    unsigned value = 0;
+    const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || failed != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+} // namespace
+
+http_request encode_relayed_request(const relayed_request& request)
+{
+    auto message = request.message;
+    const bool has_body = message.has_content_length() || message.chunked();
+    message.set(method_header, message.method_string());
+    message.set(target_header, message.target());
+    message.set(caller_header, request.caller.to_string());
+    message.set(service_header, request.service);
+    message.set(sends_header, std::to_string(request.sends));
+    message.set(unknown_outcomes_header, std::to_string(request.unknown_outcomes));
+    message.erase(body_header);
+    if (has_body)
+        message.set(body_header, "1");
+    message.erase(http::field::transfer_encoding);
+    message.erase(http::field::expect);
+    message.method(http::verb::post);
+    message.target(boost::beast::string_view{relay_path.data(), relay_path.size()});
+    message.version(11);
+    message.keep_alive(true);
+    return message;
+}
+
+std::optional<relayed_request> decode_relayed_request(http_request message)
+{
+    relayed_request request;
+    boost::system::error_code failed;
+    request.caller = asio::ip::make_address(text_of(message[caller_header]), failed);
+    const auto sends = parse_count(message[sends_header]);
+    const auto unknown_outcomes = parse_count(message[unknown_outcomes_header]);
+    const auto method = text_of(message[method_header]);
+    const auto target = text_of(message[target_header]);
+    if (failed || !sends || !unknown_outcomes || method.empty() || target.empty())
+        return std::nullopt;
+    request.service = text_of(message[service_header]);
+    request.sends = *sends;
+    request.unknown_outcomes = *unknown_outcomes;
+    message.method_string(method);
+    message.target(target);
+    if (message.find(body_header) == message.end())
+        message.content_length(boost::none);
+    for (const auto* name : {method_header, target_header, caller_header, service_header, body_header,
+                             sends_header, unknown_outcomes_header})
+        message.erase(name);
+    request.message = std::move(message);
+    return request;
+}
+
+http_response encode_relay_result(relay_result result)
+{
+    auto message = std::move(result.response);
+    message.set(status_header, status_names.at(static_cast<std::size_t>(result.status)));
+    message.set(sends_header, std::to_string(result.sends));
+    message.set(unknown_outcomes_header, std::to_string(result.unknown_outcomes));
+    return message;
+}
+
+relay_result decode_relay_result(http_response message)
+{
+    relay_result result;
+    result.responded = true;
+    const auto status = std::ranges::find(status_names, text_of(message[status_header]));
+    const auto sends = parse_count(message[sends_header]);
+    const auto unknown_outcomes = parse_count(message[unknown_outcomes_header]);
+    if (status == status_names.end() || !sends || !unknown_outcomes) {
+        result.status = relay_status::outcome_unknown;
+        return result;
+    }
+    result.status = static_cast<relay_status>(status - status_names.begin());
+    result.sends = *sends;
+    result.unknown_outcomes = *unknown_outcomes;
+    for (const auto* name : {status_header, sends_header, unknown_outcomes_header})
+        message.erase(name);
+    result.response = std::move(message);
+    return result;
+}
+
+std::optional<feed_member> request_relay::choose(const std::set<std::string>& asked, time_point now)
+{
+    std::vector<const feed_member*> candidates;
+    for (const auto& member : members_)
+        if (member.instance != instance_ && !asked.contains(member.instance) &&
+            peers_[member.instance].backoff_until <= now)
+            candidates.push_back(&member);
+    const auto remote = std::ranges::partition(
+        candidates, [&](const feed_member* member) { return member->data_centre == data_centre_; });
+    if (remote.begin() != candidates.begin())
+        candidates.erase(remote.begin(), remote.end());
+    if (candidates.empty())
+        return std::nullopt;
+    std::ranges::shuffle(candidates, random_);
+    candidates.resize(std::min(candidates.size(), candidate_count));
+    return **std::ranges::min_element(
+        candidates, {}, [&](const feed_member* member) { return peers_[member->instance].in_flight; });
+}
+
+asio::awaitable<relay_result> request_relay::send(feed_member to, relayed_request request,
+                                                  time_point deadline)
+{
+    auto& peer = peers_[to.instance];
+    const count_guard in_flight(peer.in_flight);
+    relay_result result;
+    result.sends = request.sends;
+    result.unknown_outcomes = request.unknown_outcomes;
+    if (const auto endpoint = parse_endpoint(to.address); failure(endpoint) == nullptr) {
+        auto message = encode_relayed_request(request);
+        auto outcome =
+            co_await client_.exchange(std::get<tcp_endpoint>(endpoint), std::move(message), deadline);
+        const auto cancellation = co_await asio::this_coro::cancellation_state;
+        if (cancellation.cancelled() != asio::cancellation_type::none)
+            co_return result;
+        if (auto* response = std::get_if<http_response>(&outcome))
+            result = decode_relay_result(std::move(*response));
+        else if (std::get<http_failure>(outcome).sent)
+            result.status = relay_status::outcome_unknown;
+        if (result.status == relay_status::outcome_unknown && result.sends == request.sends) {
+            ++result.sends;
+            ++result.unknown_outcomes;
+        }
+    }
+    const bool failed = result.status == relay_status::declined || !result.responded;
+    if (!failed)
+        peer.failures = 0;
+    else {
+        const auto doublings = std::min(peer.failures++, max_backoff_doublings);
+        peer.backoff_until = boot_clock::now() + std::min(min_backoff * (1U << doublings), max_backoff);
+    }
+    co_return result;
+}
+
+} // namespace teaseltally
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -49,8 +49,16 @@
 
 } // namespace
 
+bool routed_request::has_running_attempt() const
+{
+    return is_relay_running() ||
+           std::ranges::any_of(attempts, [](const auto& attempt) { return !attempt->ended; });
+}
+
 void routed_request::cancel_attempts()
 {
+    if (is_relay_running())
+        relay->cancel.emit(asio::cancellation_type::terminal);
     for (const auto& attempt : attempts)
         if (!attempt->ended && attempt->stream != nullptr) {
             boost::system::error_code ignored;
@@ -157,6 +165,7 @@
     const auto now = boot_clock::now();
     for (auto& [id, node] : targets_)
         node->close_idle(now, false);
+    std::erase_if(relay_backoffs_, [&](const auto& backoff) { return backoff.second <= now; });
 }
 
 traffic_report request_router::extract_traffic()
@@ -187,13 +196,16 @@
         time_limit = time_limit.count() > 0 ? std::min(time_limit, milliseconds{*remaining})
                                             : milliseconds{*remaining};
     request.deadline = request.received_at + std::max(time_limit - response_margin, milliseconds{0});
-    request.service = choose_backend(request);
+    const auto& backends = request.matched_route->backends;
+    if (std::ranges::find(backends, request.service, &route_backend::service) == backends.end())
+        request.service = choose_backend(request);
     const auto* rules = table_->find_service(request.service);
     if (rules != nullptr && rules->keyed) {
         request.key = parse_number<key_number>(message[settings_.headers.key]);
         if (!request.key)
             return make_refusal(400, settings_.headers.key + " header is not an integer from 0 to 65535");
-        ++traffic_.requests[request.service][*request.key];
+        if (!request.is_relayed)
+            ++traffic_.requests[request.service][*request.key];
     }
     return std::nullopt;
 }
@@ -213,6 +225,28 @@
     service_state& state_;
 };
 
+/// Cancels the attempts at an idempotent request when its coroutine ends, also if the coroutine is cancelled
+/// because the caller has left.
+class request_router::attempts_guard {
+public:
+    explicit attempts_guard(routed_request& request) : request_(request) {}
+    ~attempts_guard()
+    {
+        if (request_.matched_route->semantics == execution_semantics::idempotent)
+            request_.cancel_attempts();
+    }
+    attempts_guard(const attempts_guard&) = delete;
+    attempts_guard& operator=(const attempts_guard&) = delete;
+    attempts_guard(attempts_guard&&) = delete;
+    attempts_guard& operator=(attempts_guard&&) = delete;
+
+    /// Cancels the attempts at any request.
+    void cancel() { request_.cancel_attempts(); }
+
+private:
+    routed_request& request_;
+};
+
 void request_router::wake_waiting(service_state& state)
 {
     constexpr int max_woken = 2;
@@ -280,13 +314,15 @@
 {
     const auto running =
         std::ranges::count_if(request.attempts, [](const auto& attempt) { return !attempt->ended; });
+    if (request.is_relay_running())
+        return false;
     if (running == 0)
         return true;
     if (running > 1 || request.matched_route->semantics == execution_semantics::at_most_once ||
         request.sends >= request.matched_route->max_attempts || is_last_crash_tolerated(request))
         return false;
-    if (!request.key)
-        return now >= hedge_at;
+    if (!request.key || is_isolated())
+        return now >= hedge_at || is_isolated();
     const auto owner = owner_of(request);
     return owner && owner != request.attempts.back()->target;
 }
@@ -295,7 +331,7 @@
 request_router::try_start_attempt(const std::shared_ptr<routed_request>& request, service_state& state)
 {
     const auto target = choose_target(*request, state);
-    if (!target || (request->sends > 0 && state.retry_budget.tokens() < 1))
+    if (!target || (request->needs_retry_token() && state.retry_budget.tokens() < 1))
         return attempt_start::blocked;
     const auto now = boot_clock::now();
     if (permits_ != nullptr && !permits_->has_permit(target->incarnation(), now)) {
@@ -307,7 +343,7 @@
         return attempt_start::blocked;
     if (permits_ != nullptr)
         static_cast<void>(permits_->use_permit(target->incarnation(), now));
-    if (request->sends > 0)
+    if (request->needs_retry_token())
         static_cast<void>(state.retry_budget.try_withdraw());
     dequeue(*request, state);
     start_attempt(request, target, std::move(connection));
@@ -325,10 +361,14 @@
             if (auto& attempt = *request->attempts[index]; attempt.ended && !attempt.handled)
                 if (auto answer = handle_result(*request, attempt))
                     co_return answer;
+        if (request->relay && request->relay->ended && !request->relay->handled)
+            if (auto answer = handle_relay_result(*request))
+                co_return answer;
+        if (auto declined = decline(*request))
+            co_return declined;
         if (request->caller_disconnected)
             co_return std::nullopt;
-        const bool running =
-            std::ranges::any_of(request->attempts, [](const auto& attempt) { return !attempt->ended; });
+        const bool running = request->has_running_attempt();
         if (now >= request->deadline) {
             request->may_have_executed = request->may_have_executed || running;
             co_return make_failure_response(*request, "deadline exceeded", min_retry_after);
@@ -346,7 +386,15 @@
                 request->sends >= request->matched_route->max_attempts + extra_sends_after_refusal)
                 co_return make_failure_response(*request, request->cause,
                                                 std::chrono::duration_cast<milliseconds>(state.service_time));
-            const auto start = try_start_attempt(request, state);
+            const bool has_token = !request->needs_retry_token() || state.retry_budget.tokens() >= 1;
+            if (has_token && should_relay(*request, state)) {
+                if (start_relay(request))
+                    continue;
+                if (is_isolated() && !running)
+                    co_return make_failure_response(*request, "no instance reaches the targets",
+                                                    link_probe_interval);
+            }
+            const auto start = is_isolated() ? attempt_start::blocked : try_start_attempt(request, state);
             if (start == attempt_start::started)
                 hedge_at = next_hedge_time(*request, state);
             if (start == attempt_start::permit_needed)
@@ -360,7 +408,7 @@
                 if (now + wait + state.service_time / 2 > request->deadline)
                     co_return make_failure_response(*request, "expected wait exceeds the deadline",
                                                     std::chrono::duration_cast<milliseconds>(wait));
-                if (request->sends > 0 && state.retry_budget.tokens() < 1)
+                if (!has_token)
                     co_return make_failure_response(
                         *request, "retry budget exhausted",
                         std::chrono::duration_cast<milliseconds>(state.service_time));
@@ -378,11 +426,13 @@
     if (auto refused = prepare(*request))
         co_return refused;
     auto& state = state_of(request->service);
-    state.retry_budget.deposit();
-    const waiting_guard guard(*request, state);
+    if (!request->is_relayed)
+        state.retry_budget.deposit();
+    const waiting_guard waiting(*request, state);
+    attempts_guard running(*request);
     auto answer = co_await run_attempts(request);
-    if (answer || request->matched_route->semantics == execution_semantics::idempotent)
-        request->cancel_attempts();
+    if (answer)
+        running.cancel();
     const unsigned status = answer ? answer->result_int() : 0;
     if (status != 200 || ++logged_ % success_log_interval == 0) {
         const auto elapsed =
@@ -394,6 +444,7 @@
                  .add("status", status)
                  .add("cause", request->cause)
                  .add("target", request->attempts.empty() ? "" : request->attempts.back()->target->entry().id)
+                 .add("relay", request->relay ? request->relay->instance : "")
                  .add("sends", request->sends)
                  .add("took_ms", elapsed.count())
                  .text());
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -218,10 +218,12 @@
             result.status = exchange_status::not_executed;
             result.failure = failure_of(failed);
             result.reason = "cannot connect: " + failed.message();
+            node->record_connection(false, boot_clock::now());
             node->discard(std::move(connection));
             co_return result;
         }
         configure_client_socket(stream.socket());
+        node->record_connection(true, boot_clock::now());
     }
     result.connected = true;
     stream.expires_after(remaining_time(deadline));
--- /dev/null
+++ b/tests/request_relay_tests.cpp
@@ -0,0 +1,281 @@
+#include "support/run.hpp"
+
+#include <teaseltally/knowledge/target_reachability.hpp>
+#include <teaseltally/net/request_router.hpp>
+
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <doctest/doctest.h>
+
+using namespace teaseltally;
+using namespace teaseltally::test;
+namespace http = boost::beast::http;
+
+namespace {
+
+/// What a target does with a request.
+enum class target_reaction { answer, reset, stay_silent };
+
+/// Target that reacts to all requests in the same way.
+class reacting_target {
+public:
+    reacting_target(asio::io_context& io, target_reaction reaction)
+        : acceptor_(io, any_port), reaction_(reaction)
+    {
+        asio::co_spawn(io, accept(), asio::detached);
+    }
+    [[nodiscard]] tcp_endpoint endpoint() const { return acceptor_.local_endpoint(); }
+
+    std::vector<http_request> requests;
+    std::size_t closed = 0;
+
+private:
+    asio::awaitable<void> accept()
+    {
+        while (true) {
+            auto [failed, socket] = co_await acceptor_.async_accept(as_result);
+            if (failed)
+                co_return;
+            asio::co_spawn(acceptor_.get_executor(), serve(std::move(socket)), asio::detached);
+        }
+    }
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket)
+    {
+        boost::beast::flat_buffer buffer;
+        while (true) {
+            http_request request;
+            if (const auto [failed, size] = co_await http::async_read(socket, buffer, request, as_result);
+                failed) {
+                ++closed;
+                co_return;
+            }
+            requests.push_back(request);
+            if (reaction_ == target_reaction::reset) {
+                socket.set_option(asio::socket_base::linger(true, 0));
+                socket.close();
+                co_return;
+            }
+            if (reaction_ == target_reaction::stay_silent)
+                continue;
+            auto response = make_response(200, "done");
+            response.set("tt-request-id", request["tt-request-id"]);
+            response.set("tt-signature", "s");
+            response.prepare_payload();
+            co_await http::async_write(socket, response, as_result);
+        }
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    target_reaction reaction_;
+};
+
+/// Router of one instance with the relay to another one.
+struct relaying_instance {
+    relaying_instance(asio::io_context& io, execution_semantics semantics, std::string name)
+        : client(io.get_executor(), {}), relay(client, name, "a"),
+          router(io.get_executor(), {"a", 0.2, 1000, {}}, [](const std::string&) {}),
+          peers(io.get_executor(), any_port, {},
+                [this](http_request request) { return answer(std::move(request)); })
+    {
+        routing_configuration configured;
+        configured.version = 1;
+        route added;
+        added.name = "r";
+        added.host = "h.example";
+        added.prefix = "/";
+        added.semantics = semantics;
+        added.timeout = milliseconds{1500};
+        added.target_latency = milliseconds{1000};
+        added.max_attempts = 2;
+        added.backends.push_back({"s", 1});
+        configured.routes.push_back(added);
+        configured.services["s"] = {"s", "/health", 1000, false};
+        router.configure(std::move(configured));
+        router.set_instance_count(1);
+        router.set_relay(relay);
+    }
+
+    void add_target(const std::string& id, const tcp_endpoint& endpoint)
+    {
+        router.update_target(
+            {id, "s", "127.0.0.1:" + std::to_string(endpoint.port()), "a", 4, false, {}, 0, 1});
+    }
+    void follow(const std::string& name, const relaying_instance& other)
+    {
+        const auto port = std::to_string(other.peers.local_endpoint().port());
+        relay.set_members({{name, "a", "127.0.0.1:" + port, 0}});
+    }
+    asio::awaitable<http_response> answer(http_request request)
+    {
+        auto received = decode_relayed_request(std::move(request));
+        if (!received)
+            co_return make_response(400, "malformed\n");
+        co_return co_await router.serve_relayed(std::move(*received));
+    }
+
+    http_client client;
+    request_relay relay;
+    request_router router;
+    http_server peers;
+};
+
+/// An instance that cannot reach its targets, and another one that can.
+struct relay_fixture {
+    relay_fixture(execution_semantics semantics, target_reaction reaction)
+        : target(io, reaction), isolated(io, semantics, "n1"), other(io, semantics, "n2")
+    {
+        asio::ip::tcp::acceptor closed(io, any_port);
+        unused = closed.local_endpoint();
+        closed.close();
+        isolated.add_target("t1", unused);
+        isolated.add_target("t2", unused);
+        isolated.follow("n2", other);
+        other.follow("n1", isolated);
+    }
+    static asio::awaitable<void> isolate(relaying_instance& instance)
+    {
+        instance.router.record_order_outcome("t1", false);
+        instance.router.record_order_outcome("t2", false);
+        instance.router.check_links();
+        co_await sleep_for(milliseconds{500});
+        REQUIRE(instance.router.is_isolated());
+    }
+    std::shared_ptr<routed_request> make_routed(const std::string& body = {})
+    {
+        auto message = make_request(http::verb::put, "/work/item?n=1", body);
+        message.set(http::field::host, "h.example");
+        message.set("tt-request-id", "q");
+        message.set("tt-deadline-ms", "1000");
+        message.prepare_payload();
+        return std::make_shared<routed_request>(io.get_executor(), std::move(message),
+                                                asio::ip::make_address("127.0.0.7"), boot_clock::now());
+    }
+
+    asio::io_context io;
+    reacting_target target;
+    relaying_instance isolated;
+    relaying_instance other;
+    tcp_endpoint unused;
+};
+
+} // namespace
+
+TEST_CASE("a relayed request reaches the target unchanged, and its response the caller")
+{
+    relay_fixture site(execution_semantics::at_most_once, target_reaction::answer);
+    site.other.add_target("t1", site.target.endpoint());
+    run(site.io, [&]() -> asio::awaitable<void> {
+        co_await relay_fixture::isolate(site.isolated);
+        const auto response = co_await site.isolated.router.serve(site.make_routed("body"));
+        REQUIRE(response.has_value());
+        CHECK(response->result_int() == 200);
+        CHECK(response->body() == "done");
+        CHECK((*response)["tt-relay-status"].empty());
+    });
+    REQUIRE(site.target.requests.size() == 1);
+    const auto& received = site.target.requests.front();
+    CHECK(received.method() == http::verb::put);
+    CHECK(received.target() == "/work/item?n=1");
+    CHECK(received.body() == "body");
+    CHECK(received["tt-request-id"] == "q");
+    CHECK(std::stoi(std::string{received["tt-deadline-ms"]}) < 1000);
+    CHECK(std::ranges::none_of(
+        received, [](const auto& field) { return field.name_string().starts_with("tt-relay"); }));
+}
+
+// Guards against a second run of a request whose outcome is unknown to the instance that passed it on.
+TEST_CASE("a relayed request that may run once is not repeated, and its caller gets no promise")
+{
+    for (const auto reaction : {target_reaction::reset, target_reaction::stay_silent}) {
+        relay_fixture site(execution_semantics::at_most_once, reaction);
+        site.other.add_target("t1", site.target.endpoint());
+        run(site.io, [&]() -> asio::awaitable<void> {
+            co_await relay_fixture::isolate(site.isolated);
+            const auto response = co_await site.isolated.router.serve(site.make_routed());
+            REQUIRE(response.has_value());
+            CHECK(response->result_int() >= 502);
+            CHECK(response->result_int() != 503);
+        });
+        CHECK(site.target.requests.size() == 1);
+    }
+}
+
+// Guards against requests that go from instance to instance.
+TEST_CASE(
+    "an instance that reaches no target declines relayed requests, and the caller is told when to return")
+{
+    relay_fixture site(execution_semantics::idempotent, target_reaction::answer);
+    site.other.add_target("t1", site.unused);
+    site.other.add_target("t2", site.unused);
+    run(site.io, [&]() -> asio::awaitable<void> {
+        co_await relay_fixture::isolate(site.isolated);
+        co_await relay_fixture::isolate(site.other);
+        const auto sent_at = boot_clock::now();
+        const auto response = co_await site.isolated.router.serve(site.make_routed());
+        REQUIRE(response.has_value());
+        CHECK(response->result_int() == 503);
+        CHECK_FALSE((*response)[http::field::retry_after].empty());
+        CHECK(boot_clock::now() - sent_at < milliseconds{100});
+    });
+}
+
+// Guards against targets that go on with a relayed request whose caller has left.
+TEST_CASE("if the caller leaves, the target's connection of a relayed idempotent request is closed")
+{
+    relay_fixture site(execution_semantics::idempotent, target_reaction::stay_silent);
+    site.other.add_target("t1", site.target.endpoint());
+    run(site.io, [&]() -> asio::awaitable<void> {
+        co_await relay_fixture::isolate(site.isolated);
+        auto request = site.make_routed();
+        asio::co_spawn(
+            site.io,
+            [&site, request]() -> asio::awaitable<void> {
+                static_cast<void>(co_await site.isolated.router.serve(request));
+            },
+            asio::detached);
+        co_await sleep_for(milliseconds{200});
+        CHECK(site.target.requests.size() == 1);
+        CHECK(site.target.closed == 0);
+        request->on_caller_disconnected();
+        co_await sleep_for(milliseconds{200});
+        CHECK(site.target.closed == 1);
+    });
+}
+
+TEST_CASE("malformed relayed requests are rejected, and malformed results promise nothing")
+{
+    CHECK_FALSE(decode_relayed_request(make_request(http::verb::post, "/relay")).has_value());
+    relayed_request request{make_request(http::verb::get, "/x"), asio::ip::make_address("127.0.0.7"), "s", 1,
+                            1};
+    auto message = encode_relayed_request(request);
+    REQUIRE(decode_relayed_request(message).has_value());
+    CHECK(decode_relayed_request(message)->message.method() == http::verb::get);
+    message.set("tt-relay-sends", "-1");
+    CHECK_FALSE(decode_relayed_request(message).has_value());
+    CHECK(decode_relay_result(make_response(503, "")).status == relay_status::outcome_unknown);
+}
+
+TEST_CASE(
+    "silence and failed connections raise the suspicion, failed probes begin the isolation, contact ends it")
+{
+    target_reachability links;
+    time_point now{std::chrono::hours{1}};
+    links.on_contact(now);
+    links.on_connection_failed("t1");
+    links.on_connection_failed("t1");
+    CHECK_FALSE(links.needs_probe(now));
+    links.on_connection_failed("t2");
+    CHECK(links.needs_probe(now));
+    links.on_contact(now);
+    CHECK_FALSE(links.needs_probe(now));
+    links.on_request_sent(now);
+    CHECK_FALSE(links.needs_probe(now + milliseconds{400}));
+    CHECK(links.needs_probe(now + milliseconds{600}));
+    CHECK_FALSE(links.on_probes_failed(now - milliseconds{1}));
+    CHECK(links.on_probes_failed(now + milliseconds{600}));
+    CHECK(links.is_isolated());
+    links.on_contact(now + milliseconds{900});
+    CHECK_FALSE(links.is_isolated());
+}
--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -53,7 +53,7 @@
 class fake_target {
 public:
     /// Starts the first incarnation and registers it.
-    /// @param endpoint address and port on which all incarnations listen.
+    /// @param endpoint address and port on which all incarnations listen; the host is part of their ids.
     /// @param runs receives every request that reaches the target.
     fake_target(asio::io_context& io, fake_store& store, tcp_endpoint endpoint, std::string service,
                 std::string data_centre, target_behaviour behaviour, std::vector<target_run>& runs);
@@ -74,6 +74,11 @@
     void end();
     /// Resets all connections and goes on.
     void reset_connections();
+    /// Resets the connections from an address and goes on.
+    void reset_connections_from(const asio::ip::address& caller);
+    /// Sets from which addresses open connections are silent: nothing is read from them, and nothing is
+    /// written.
+    void set_silent(std::set<asio::ip::address> callers) { silent_ = std::move(callers); }
 
 private:
     struct connection;
@@ -83,6 +88,9 @@
     asio::awaitable<void> accept(unsigned incarnation);
     asio::awaitable<void> serve(std::shared_ptr<connection> caller, unsigned incarnation);
     asio::awaitable<http_response> execute(http_request request, unsigned incarnation);
+    /// Waits while a connection is silent.
+    /// @returns whether the connection is still open.
+    asio::awaitable<bool> wait_for_link(std::shared_ptr<connection> caller);
     [[nodiscard]] http_response handle_order(const http_request& request);
     asio::awaitable<void> restart();
     /// Waits for a slot in the order of the calls.
@@ -98,6 +106,7 @@
     asio::ip::tcp::acceptor acceptor_;
     tcp_endpoint endpoint_;
     std::set<std::shared_ptr<connection>> connections_;
+    std::set<asio::ip::address> silent_;
     std::bitset<65536> held_keys_;
     std::string id_;
     unsigned ends_ = 0;
