--- a/include/teaseltally/admission/crash_quarantine.hpp
+++ b/include/teaseltally/admission/crash_quarantine.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <initializer_list>
 #include <map>
 #include <optional>
 #include <set>
@@ -17,6 +18,21 @@
 
 namespace teaseltally {
 
+/// Identifies the requests that count as equal when targets crash.
+struct crash_fingerprints {
+    /// The same for all requests with equal content; its lower half is zero.
+    std::uint64_t content = 0;
+    /// The same for requests with equal content from one caller; its upper half is that of `content`.
+    std::uint64_t caller = 0;
+    bool operator==(const crash_fingerprints&) const = default;
+};
+
+/// Computes the fingerprints of a request.
+/// @param caller IP address of the caller.
+/// @param content parts of the content, in a fixed order.
+[[nodiscard]] crash_fingerprints crash_fingerprints_of(std::string_view caller,
+                                                       std::initializer_list<std::string_view> content);
+
 /// Limits of the quarantine.
 struct crash_quarantine_settings {
     /// Number of crashed targets from which a request is quarantined, at least 1.
@@ -34,15 +50,22 @@
 };
 
 /// Counts, for each request fingerprint, the target incarnations that ended while they ran a request with
-/// this fingerprint. Each incarnation counts once, however many instances report it.
+/// this fingerprint, however many instances report it.
 ///
 /// A request that was on a target when it ended is not necessarily the cause. Two observations withdraw a
 /// report: the target answers a request that was sent later, so it has not ended; or a target completes a
 /// request with the fingerprint, so the request does not crash targets.
 ///
+/// An incarnation counts once for a fingerprint. For a content that is not known to have completed anywhere
+/// it counts once for each caller whose attempt was lost on it: equal requests often arrive together, and all
+/// of them end the next target.
+///
+/// Attempts count for both fingerprints of their request: a lethal request may return from any address, and
+/// its content may be harmless from other callers, whose completions withdraw the content's fingerprint only.
+///
 /// A quarantined request is not sent, so it cannot complete any more. It gets one trial if requests with its
-/// fingerprint completed before, or if another request ran on all targets that ended: with the same key, a
-/// request runs on the same targets as a lethal one.
+/// fingerprint completed before, if a request with other content ran on all targets that ended (with the same
+/// key, a request runs on the same targets as a lethal one), or if several callers sent its content.
 class crash_quarantine {
 public:
     /// @param instance identifier of this instance; part of the keys of its records.
@@ -86,7 +109,7 @@
     /// @param withdraw whether the removal of old reports is to be shared.
     void remove_expired(time_point now, bool withdraw);
 
-    /// Returns the number of target incarnations that ended while they ran a request with the fingerprint.
+    /// Returns the number of crashes that count for a fingerprint.
     [[nodiscard]] unsigned crashes(std::uint64_t fingerprint) const;
     /// Returns the number of crashes from which a request is quarantined.
     [[nodiscard]] unsigned crash_limit() const noexcept { return settings_.crashes; }
@@ -108,8 +131,11 @@
 
     [[nodiscard]] std::vector<time_point> crash_times(std::uint64_t fingerprint) const;
     void add_completed(std::uint64_t fingerprint);
-    /// Returns whether requests with another fingerprint ran on all targets whose ends count for this one.
+    /// Returns whether requests with other content ran on all targets whose ends count for this fingerprint.
     [[nodiscard]] bool has_other_suspect(std::uint64_t fingerprint) const;
+    /// Returns whether attempts of several callers were lost with a content, so that it may be lethal from
+    /// one of them only.
+    [[nodiscard]] bool has_several_callers(std::uint64_t fingerprint) const;
     /// Sets the fingerprints of a report; none removes it.
     void set_report(const std::string& key, std::set<std::uint64_t> fingerprints, time_point now);
 
--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -100,8 +100,8 @@
 
     /// Value of the request id header.
     std::string id;
-    /// Identifies requests of one caller with equal content (see `fingerprint_of`).
-    std::uint64_t fingerprint = 0;
+    /// Identify the requests that count as equal when targets crash.
+    crash_fingerprints fingerprints;
     /// Routing configuration that applies to the request; owns `matched_route`.
     std::shared_ptr<const route_table> table;
     /// Route of the request; null until it is found.
@@ -314,7 +314,8 @@
     void record_target_end(const target_node& target);
     /// Finds out whether a target has ended after a connection to it was lost.
     [[nodiscard]] asio::awaitable<void> probe_target(std::shared_ptr<target_node> target);
-    [[nodiscard]] bool is_quarantined(const routed_request& request) const;
+    /// Returns the quarantined fingerprint of a request; nothing if it has none.
+    [[nodiscard]] std::optional<std::uint64_t> quarantined_fingerprint(const routed_request& request) const;
     /// Returns whether targets have crashed and one more crash would quarantine the request.
     [[nodiscard]] bool is_last_crash_tolerated(const routed_request& request) const;
     /// Claims the trial of a quarantined request if a target could run it now.
--- a/include/teaseltally/request_policy.hpp
+++ b/include/teaseltally/request_policy.hpp
@@ -65,14 +65,6 @@
 [[nodiscard]] std::uint64_t fingerprint_of(std::string_view method, std::string_view path,
                                            std::string_view body);
 
-/// Computes the fingerprint of a request of one caller.
-/// @param caller address of the caller.
-/// @param path path with the query.
-/// @returns a 64-bit hash of all parameters.
-[[nodiscard]] std::uint64_t fingerprint_of(std::string_view caller, std::string_view host,
-                                           std::string_view method, std::string_view path,
-                                           std::string_view body);
-
 /// State of a target of an unkeyed service, as known to the instance that chooses.
 struct target_candidate {
     /// The target.
--- a/src/admission/crash_quarantine.cpp
+++ b/src/admission/crash_quarantine.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <utility>
+#include <xxhash.h>
 
 namespace teaseltally {
 namespace {
@@ -12,12 +13,12 @@
 /// Time for which a lost attempt may explain the end of its target. The store removes the registration of a
 /// crashed target after three heartbeats, at most about 5 s.
 constexpr milliseconds lost_attempt_lifetime{10'000};
-/// Maximum number of lost attempts that are kept per target; the oldest are dropped first.
-constexpr std::size_t max_lost_attempts = 64;
+/// Maximum number of fingerprints of lost attempts that are kept per target; the oldest are dropped first.
+constexpr std::size_t max_lost_attempts = 128;
 /// Maximum number of reports; the oldest is dropped first.
 constexpr std::size_t max_reports = 1024;
 /// Maximum number of fingerprints of completed requests; the oldest are dropped first.
-constexpr std::size_t max_completed = 4096;
+constexpr std::size_t max_completed = 8192;
 /// Minimum time between the claims of two trials, so that the end of a target can be attributed to one of
 /// them.
 constexpr milliseconds trial_interval{2000};
@@ -28,6 +29,23 @@
 /// Separates the incarnation from the instance in the key of a record.
 constexpr char key_separator = '|';
 
+/// Bits of a fingerprint that requests with equal content have in common.
+constexpr std::uint64_t content_mask = ~std::uint64_t{0} << 32U;
+
+/// Added to the fingerprint of a content in the report of an instance that knows of no completed request with
+/// it. The fingerprints of callers are odd.
+constexpr std::uint64_t never_completed = 2;
+
+bool is_content(std::uint64_t fingerprint)
+{
+    return (fingerprint & ~content_mask) == 0;
+}
+
+bool is_caller(std::uint64_t fingerprint)
+{
+    return (fingerprint & 1U) != 0;
+}
+
 std::string incarnation_of(const std::string& key)
 {
     return key.substr(0, key.rfind(key_separator));
@@ -75,6 +93,17 @@
 
 } // namespace
 
+crash_fingerprints crash_fingerprints_of(std::string_view caller,
+                                         std::initializer_list<std::string_view> content)
+{
+    std::uint64_t hash = 0;
+    for (const auto part : content)
+        hash = XXH64(part.data(), part.size(), hash);
+    const auto caller_hash = XXH64(caller.data(), caller.size(), hash);
+    // The lower half of the caller's fingerprint must not be zero.
+    return {hash & content_mask, (hash & content_mask) | (caller_hash & ~content_mask) | 1U};
+}
+
 std::string encode_crash_records(const std::vector<crash_record>& records)
 {
     Json::Value rows(Json::arrayValue);
@@ -144,6 +173,9 @@
     lost_attempts_.erase(found);
     if (fingerprints.empty())
         return false;
+    for (const auto fingerprint : std::set(fingerprints))
+        if (is_content(fingerprint) && !completed_.contains(fingerprint))
+            fingerprints.insert(fingerprint + never_completed);
     const auto key = incarnation + key_separator + instance_;
     if (const auto reported = reports_.find(key); reported != reports_.end())
         fingerprints.insert(reported->second.fingerprints.begin(), reported->second.fingerprints.end());
@@ -176,14 +208,29 @@
     }
     const auto count = incarnations_by_fingerprint[fingerprint].size();
     return std::ranges::any_of(incarnations_by_fingerprint, [&](const auto& suspect) {
-        return suspect.first != fingerprint && suspect.second.size() == count;
+        const bool other_content = ((suspect.first ^ fingerprint) & content_mask) != 0;
+        return other_content && suspect.second.size() == count;
     });
 }
 
+bool crash_quarantine::has_several_callers(std::uint64_t fingerprint) const
+{
+    const auto keys = keys_by_fingerprint_.find(fingerprint);
+    if (keys == keys_by_fingerprint_.end() || !is_content(fingerprint))
+        return false;
+    std::set<std::uint64_t> callers;
+    for (const auto& key : keys->second)
+        for (const auto other : reports_.at(key).fingerprints)
+            if (is_caller(other) && (other & content_mask) == fingerprint)
+                callers.insert(other);
+    return callers.size() > 1;
+}
+
 std::optional<crash_record> crash_quarantine::next_trial(std::uint64_t fingerprint, time_point now) const
 {
     if (trials_.contains(fingerprint) || crashes(fingerprint) < settings_.crashes ||
-        !(completed_.contains(fingerprint) || has_other_suspect(fingerprint)))
+        !(completed_.contains(fingerprint) || has_other_suspect(fingerprint) ||
+          has_several_callers(fingerprint)))
         return std::nullopt;
     const bool recent =
         std::ranges::any_of(trials_, [&](const auto& trial) { return now - trial.second < trial_interval; });
@@ -204,6 +251,8 @@
         const auto& reported = reports_.at(key);
         auto fingerprints = reported.fingerprints;
         fingerprints.erase(fingerprint);
+        if (is_content(fingerprint))
+            fingerprints.erase(fingerprint + never_completed);
         set_report(key, std::move(fingerprints), reported.reported_at);
         changed_keys_.insert(key);
     }
@@ -334,16 +383,30 @@
     const auto found = keys_by_fingerprint_.find(fingerprint);
     if (found == keys_by_fingerprint_.end())
         return {};
-    std::map<std::string, time_point> times;
+    struct crash {
+        time_point last{};
+        std::set<std::uint64_t> callers;
+        bool completed = false;
+    };
+    std::map<std::string, crash> crashes;
     for (const auto& key : found->second) {
         const auto& reported = reports_.at(key);
-        auto& last = times[reported.incarnation];
-        last = std::max(last, reported.reported_at);
+        auto& entry = crashes[reported.incarnation];
+        entry.last = std::max(entry.last, reported.reported_at);
+        if (!is_content(fingerprint) || !reported.fingerprints.contains(fingerprint + never_completed)) {
+            entry.completed = true;
+            continue;
+        }
+        for (auto other = reported.fingerprints.upper_bound(fingerprint);
+             other != reported.fingerprints.end() && (*other & content_mask) == fingerprint; ++other)
+            if (is_caller(*other))
+                entry.callers.insert(*other);
     }
     std::vector<time_point> sorted;
-    sorted.reserve(times.size());
-    for (const auto& [incarnation, time] : times)
-        sorted.push_back(time);
+    for (const auto& [incarnation, entry] : crashes) {
+        const auto count = entry.completed ? 1 : std::max<std::size_t>(entry.callers.size(), 1);
+        sorted.insert(sorted.end(), std::min<std::size_t>(count, settings_.crashes), entry.last);
+    }
     std::ranges::sort(sorted);
     return sorted;
 }
--- a/src/net/request_attempts.cpp
+++ b/src/net/request_attempts.cpp
@@ -181,7 +181,7 @@
 {
     log_(log_line("attempt_lost")
              .add("id", request.id)
-             .add("fingerprint", request.fingerprint)
+             .add("fingerprint", request.fingerprints.caller)
              .add("caller", request.caller.to_string())
              .add("method", request.message.method_string())
              .add("path", request_path(request.message))
--- a/src/net/request_crashes.cpp
+++ b/src/net/request_crashes.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace teaseltally {
@@ -33,19 +34,26 @@
     if (result.status == exchange_status::answered || result.status == exchange_status::not_executed)
         if (result.connected && attempt.target->entry().start_unix_ms == 0)
             quarantine_->on_target_alive(incarnation, attempt.started);
-    if (result.status == exchange_status::answered)
-        quarantine_->on_request_completed(request.fingerprint);
+    const auto& fingerprints = request.fingerprints;
+    if (result.status == exchange_status::answered) {
+        quarantine_->on_request_completed(fingerprints.content);
+        quarantine_->on_request_completed(fingerprints.caller);
+    }
     // A cut of the links may refuse connections too.
     if (result.failure == connection_failure::refused && !is_isolated())
         record_target_end(*attempt.target);
     // The target may still run an abandoned request. Most abandoned requests are innocent: their callers left
     // or a hedged attempt was faster.
-    const bool is_suspect =
-        result.failure == connection_failure::lost || result.failure == connection_failure::timed_out ||
-        (result.failure == connection_failure::abandoned && !quarantine_->has_completed(request.fingerprint));
-    if (result.status != exchange_status::outcome_unknown || !is_suspect)
+    const bool lost =
+        result.failure == connection_failure::lost || result.failure == connection_failure::timed_out;
+    const bool abandoned = result.failure == connection_failure::abandoned;
+    if (result.status != exchange_status::outcome_unknown || !(lost || abandoned))
+        return;
+    for (const auto fingerprint : {fingerprints.content, fingerprints.caller})
+        if (lost || !quarantine_->has_completed(fingerprint))
+            quarantine_->on_attempt_lost(incarnation, fingerprint, attempt.ended_at);
+    if (!quarantine_->has_lost_attempts(incarnation))
         return;
-    quarantine_->on_attempt_lost(incarnation, request.fingerprint, attempt.ended_at);
     const auto registered = targets_.find(attempt.target->entry().id);
     if (registered == targets_.end() || registered->second != attempt.target)
         record_target_end(*attempt.target);
@@ -81,32 +89,40 @@
     probed_incarnations_.erase(incarnation);
 }
 
-bool request_router::is_quarantined(const routed_request& request) const
+std::optional<std::uint64_t> request_router::quarantined_fingerprint(const routed_request& request) const
 {
-    return quarantine_ != nullptr && quarantine_->crashes(request.fingerprint) >= quarantine_->crash_limit();
+    if (quarantine_ == nullptr)
+        return std::nullopt;
+    for (const auto fingerprint : {request.fingerprints.content, request.fingerprints.caller})
+        if (quarantine_->crashes(fingerprint) >= quarantine_->crash_limit())
+            return fingerprint;
+    return std::nullopt;
 }
 
 bool request_router::is_last_crash_tolerated(const routed_request& request) const
 {
     if (quarantine_ == nullptr)
         return false;
-    const auto crashes = quarantine_->crashes(request.fingerprint);
+    const auto crashes = std::max(quarantine_->crashes(request.fingerprints.content),
+                                  quarantine_->crashes(request.fingerprints.caller));
     return crashes > 0 && crashes + 1 >= quarantine_->crash_limit();
 }
 
 asio::awaitable<bool> request_router::claim_trial(const std::shared_ptr<routed_request>& request,
                                                   service_state& state)
 {
-    if (!claim_trial_ || is_isolated() || !quarantine_->next_trial(request->fingerprint, boot_clock::now()))
+    const auto fingerprint = quarantined_fingerprint(*request);
+    if (!claim_trial_ || is_isolated() || !fingerprint ||
+        !quarantine_->next_trial(*fingerprint, boot_clock::now()))
         co_return false;
     // The owner of a key stays registered for seconds after its end, and would not run the trial.
     const auto target = choose_target(*request, state);
     if (!target || quarantine_->is_reported(target->incarnation()))
         co_return false;
-    const bool claimed = co_await claim_trial_(request->fingerprint);
+    const bool claimed = co_await claim_trial_(*fingerprint);
     log_(log_line("trial")
              .add("id", request->id)
-             .add("fingerprint", request->fingerprint)
+             .add("fingerprint", *fingerprint)
              .add("claimed", claimed ? 1 : 0)
              .text());
     co_return claimed;
@@ -115,9 +131,10 @@
 http_response request_router::make_quarantine_response(routed_request& request) const
 {
     auto response = make_failure_response(request, "quarantined because targets crashed", {});
-    if (!request.may_have_executed)
+    const auto fingerprint = quarantined_fingerprint(request);
+    if (!request.may_have_executed && fingerprint)
         response.set(http::field::retry_after,
-                     format_seconds(quarantine_->quarantine_time(request.fingerprint, boot_clock::now())));
+                     format_seconds(quarantine_->quarantine_time(*fingerprint, boot_clock::now())));
     return response;
 }
 
--- a/src/net/request_relay.cpp
+++ b/src/net/request_relay.cpp
@@ -127,10 +127,11 @@
         if (member.instance != instance_ && !asked.contains(member.instance) &&
             peers_[member.instance].backoff_until <= now)
             candidates.push_back(&member);
-    const auto remote = std::ranges::partition(
-        candidates, [&](const feed_member* member) { return member->data_centre == data_centre_; });
-    if (remote.begin() != candidates.begin())
-        candidates.erase(remote.begin(), remote.end());
+    const auto remote = std::partition(candidates.begin(), candidates.end(), [&](const feed_member* member) {
+        return member->data_centre == data_centre_;
+    });
+    if (remote != candidates.begin())
+        candidates.erase(remote, candidates.end());
     if (candidates.empty())
         return std::nullopt;
     std::ranges::shuffle(candidates, random_);
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -187,9 +187,13 @@
     request.id = std::string{message[settings_.headers.request_id]};
     if (request.id.empty())
         return make_refusal(400, settings_.headers.request_id + " header is missing");
-    request.fingerprint = fingerprint_of(request.caller.to_string(), {host.data(), host.size()},
-                                         {message.method_string().data(), message.method_string().size()},
-                                         target, message.body());
+    const auto method = message.method_string();
+    const auto key = message[settings_.headers.key];
+    request.fingerprints = crash_fingerprints_of(request.caller.to_string(), {{host.data(), host.size()},
+                                                                              {method.data(), method.size()},
+                                                                              target,
+                                                                              {key.data(), key.size()},
+                                                                              message.body()});
     auto time_limit = request.matched_route->timeout;
     if (const auto remaining = parse_number<std::int64_t>(message[settings_.headers.deadline_ms]);
         remaining && *remaining >= 0)
@@ -374,7 +378,7 @@
             co_return make_failure_response(*request, "deadline exceeded", min_retry_after);
         }
         if (should_start_attempt(*request, now, hedge_at)) {
-            if (is_quarantined(*request) && !running && !request->is_trial) {
+            if (quarantined_fingerprint(*request) && !running && !request->is_trial) {
                 request->is_trial = request->sends == 0 && co_await claim_trial(request, state);
                 if (!request->is_trial)
                     co_return make_quarantine_response(*request);
@@ -439,7 +443,7 @@
             std::chrono::duration_cast<milliseconds>(boot_clock::now() - request->received_at);
         log_(log_line("request")
                  .add("id", request->id)
-                 .add("fingerprint", request->fingerprint)
+                 .add("fingerprint", request->fingerprints.caller)
                  .add("service", request->service)
                  .add("status", status)
                  .add("cause", request->cause)
--- a/src/request_policy.cpp
+++ b/src/request_policy.cpp
@@ -77,13 +77,6 @@
     return XXH64(body.data(), body.size(), hash);
 }
 
-std::uint64_t fingerprint_of(std::string_view caller, std::string_view host, std::string_view method,
-                             std::string_view path, std::string_view body)
-{
-    std::uint64_t hash = XXH64(caller.data(), caller.size(), fingerprint_of(method, path, body));
-    return XXH64(host.data(), host.size(), hash);
-}
-
 std::size_t choose_target(std::span<const target_candidate> targets, std::uint64_t random)
 {
     if (targets.empty())
