Log the time for which a target that refuses a request wants none

What callers saw: 503 with the cause "retry budget exhausted" while targets turned them away. The log did not show which targets had asked for rest, nor which send of a request they refused, so that the hypotheses on the incident could not be told apart. The line target_rest names both. No change of logic.

--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -308,6 +308,7 @@
     void record_attempt_end(const routed_request& request, routed_attempt& attempt);
     /// Records what a response says about the rate limit of its target.
     void record_rate_limit(const routed_attempt& attempt);
+    void log_requested_rest(const routed_request& request, const routed_attempt& attempt) const;
     void log_lost_attempt(const routed_request& request, const routed_attempt& attempt) const;
     /// Passes what the end of an attempt says about its target and its request to the quarantine.
     void record_crash_evidence(const routed_request& request, const routed_attempt& attempt);
--- a/src/net/request_attempts.cpp
+++ b/src/net/request_attempts.cpp
@@ -157,6 +157,7 @@
         break;
     }
     case exchange_status::not_executed:
+        log_requested_rest(request, attempt);
         if (result.connected)
             load.on_refusal(now);
         else
@@ -193,6 +194,20 @@
              .text());
 }
 
+void request_router::log_requested_rest(const routed_request& request, const routed_attempt& attempt) const
+{
+    const auto retry_after = attempt.result.response[http::field::retry_after];
+    if (retry_after.empty())
+        return;
+    log_(log_line("target_rest")
+             .add("id", request.id)
+             .add("target", attempt.target->entry().id)
+             .add("status", attempt.result.response.result_int())
+             .add("retry_after", std::string{retry_after})
+             .add("sends", request.sends)
+             .text());
+}
+
 std::optional<http_response> request_router::handle_result(routed_request& request, routed_attempt& attempt)
 {
     attempt.handled = true;
