--- /dev/null
+++ b/tests/front_statement_tests.cpp
@@ -0,0 +1,177 @@
+#include "support/front_deployment.hpp"
+
+#include <cstdlib>
+#include <doctest/doctest.h>
+
+using namespace teaseltally;
+using namespace teaseltally::test;
+
+namespace {
+
+/// Rule BUDGET of the users' platform: from this time after a target has asked an instance for rest until the
+/// end of the rest, at most this number of the instance's requests reach the target.
+constexpr milliseconds rest_slack{500};
+constexpr std::ptrdiff_t tolerated_in_rest = 2;
+/// Time within which a request that is refused gets its answer.
+constexpr milliseconds refusal_time{150};
+/// Requests per second of all callers together.
+constexpr std::int64_t load_per_s = 160;
+constexpr milliseconds rest{4000};
+constexpr auto rest_text = "4";
+
+/// Number of instances, and how many of the six targets speak.
+struct statement_case {
+    std::size_t fronts;
+    bool keyed;
+    std::size_t speaking;
+};
+
+std::string name_of(const statement_case& example)
+{
+    return std::to_string(example.fronts) + " instances, " + std::to_string(example.speaking) +
+           " of 6 targets" + (example.keyed ? ", keyed" : "");
+}
+
+deployment_options options_for(std::size_t fronts, bool keyed)
+{
+    deployment_options options{"safe", {}, fronts, 6};
+    options.behaviour.keyed = keyed;
+    options.behaviour.slots = 4;
+    options.behaviour.service_time = milliseconds{50};
+    return options;
+}
+
+void start_load(deployment& site)
+{
+    const auto fronts = site.fronts.size();
+    for (std::size_t front = 0; front < fronts; ++front)
+        site.start_load(front, milliseconds{static_cast<std::int64_t>(fronts) * 1000 / load_per_s});
+}
+
+/// Returns the largest number of requests that one target got from one instance within one rest.
+std::ptrdiff_t most_in_rest(const deployment& site)
+{
+    std::ptrdiff_t most = 0;
+    for (const auto& asked : site.runs) {
+        if (!asked.rest_asked)
+            continue;
+        most = std::max(most, std::ranges::count_if(site.runs, [&](const target_run& run) {
+                            return run.target == asked.target && run.from == asked.from &&
+                                   run.arrived > *asked.rest_asked + rest_slack &&
+                                   run.arrived < *asked.rest_asked + rest;
+                        }));
+    }
+    return most;
+}
+
+/// Returns the time until which a target has asked an instance for rest, as of a time.
+time_point rest_end(const deployment& site, const std::string& target, std::size_t front, time_point at)
+{
+    time_point end{};
+    for (const auto& run : site.runs)
+        if (run.target == target && run.from == site.fronts[front]->address() && run.rest_asked &&
+            *run.rest_asked <= at)
+            end = std::max(end, *run.rest_asked + rest);
+    return end;
+}
+
+time_point return_time(const caller_answer& answer)
+{
+    return answer.ended +
+           microseconds{static_cast<std::int64_t>(std::atof(answer.retry_after.c_str()) * 1e6)};
+}
+
+/// Requests of callers that were sent in a span of time.
+struct served_share {
+    std::size_t sent = 0;
+    std::size_t served = 0;
+    std::size_t refused_late = 0;
+    std::size_t refused_without_time = 0;
+    [[nodiscard]] double share() const { return static_cast<double>(served) / static_cast<double>(sent); }
+};
+
+served_share answers_between(const deployment& site, time_point from, time_point to)
+{
+    served_share result;
+    for (const auto& answer : site.load_answers) {
+        if (answer.sent < from || answer.sent >= to)
+            continue;
+        ++result.sent;
+        result.served += answer.status == 200 ? 1 : 0;
+        if (answer.status != 503)
+            continue;
+        result.refused_late += answer.ended - answer.sent > refusal_time ? 1 : 0;
+        result.refused_without_time += answer.retry_after.empty() ? 1 : 0;
+    }
+    return result;
+}
+
+/// Checks that the callers that were refused in a span are told times at which a target is free again for
+/// their instance, and that few of them return at the same time.
+void check_return_times(const deployment& site, time_point from, time_point to)
+{
+    constexpr milliseconds tolerated_error{50};
+    constexpr milliseconds together{100};
+    std::map<std::size_t, std::vector<time_point>> returns;
+    for (const auto& answer : site.load_answers) {
+        if (answer.status != 503 || answer.sent < from || answer.sent >= to)
+            continue;
+        auto first_free = time_point::max();
+        for (const auto& target : site.targets)
+            first_free = std::min(first_free, rest_end(site, target->id(), answer.front, answer.ended));
+        CHECK(return_time(answer) + tolerated_error >= first_free);
+        CHECK(return_time(answer) <= first_free + rest / 2 + tolerated_error);
+        returns[answer.front].push_back(return_time(answer));
+    }
+    for (const auto& [front, times] : returns)
+        for (const auto first : times) {
+            const auto count = std::ranges::count_if(
+                times, [&](time_point at) { return at >= first && at < first + together; });
+            CHECK(count <= std::max<std::ptrdiff_t>(2, static_cast<std::ptrdiff_t>(times.size()) / 4));
+        }
+}
+
+} // namespace
+
+// Guards against the incident BUDGET: a target that had asked an instance for rest got requests from it.
+TEST_CASE("targets that ask for rest get no requests until it is over, and the others take them")
+{
+    for (const auto& example : std::vector<statement_case>{
+             {1, false, 2}, {1, false, 6}, {4, true, 2}, {4, false, 6}, {12, true, 6}, {30, false, 2}}) {
+        INFO(name_of(example));
+        deployment site(options_for(example.fronts, example.keyed));
+        time_point asked_at{};
+        time_point ended_at{};
+        run(site.io, [&]() -> asio::awaitable<void> {
+            co_await site.start();
+            start_load(site);
+            co_await sleep_for(milliseconds{2000});
+            asked_at = boot_clock::now();
+            for (std::size_t index = 0; index < example.speaking; ++index)
+                site.targets[index]->ask_for_rest(rest_text);
+            // The rest that is asked for with the last answers of this span ends 4 s later.
+            co_await sleep_for(milliseconds{5500});
+            ended_at = boot_clock::now();
+            for (const auto& target : site.targets)
+                target->ask_for_rest(std::nullopt);
+            co_await sleep_for(milliseconds{7000});
+            site.stop_load();
+            co_await sleep_for(milliseconds{2200});
+        });
+        const auto during = answers_between(site, asked_at + milliseconds{1000}, ended_at);
+        const auto after =
+            answers_between(site, ended_at + rest + milliseconds{1000}, ended_at + milliseconds{6900});
+        MESSAGE(name_of(example) << ": most in one rest " << most_in_rest(site) << "; sent " << during.sent
+                                 << ", served " << during.served << ", refused late " << during.refused_late
+                                 << "; afterwards " << after.served << " of " << after.sent);
+        CHECK(most_in_rest(site) <= tolerated_in_rest);
+        CHECK(during.sent > 0);
+        CHECK(during.refused_late == 0);
+        CHECK(during.refused_without_time == 0);
+        if (!example.keyed && example.speaking < site.targets.size())
+            CHECK(during.share() >= 0.99);
+        if (!example.keyed && example.speaking == site.targets.size())
+            check_return_times(site, asked_at + milliseconds{1000}, asked_at + rest);
+        CHECK(after.share() >= 0.99);
+    }
+}
--- a/tests/support/fake_target.cpp
+++ b/tests/support/fake_target.cpp
@@ -159,7 +159,7 @@
         if (request.target().starts_with("/api/"))
             response = handle_order(request);
         else
-            response = co_await execute(std::move(request), incarnation);
+            response = co_await execute(std::move(request), caller->from, incarnation);
         if (incarnation != ends_ || !co_await wait_for_link(caller))
             break;
         if (caller->late_refusal) {
@@ -284,7 +284,8 @@
     co_return true;
 }
 
-asio::awaitable<http_response> fake_target::execute(http_request request, unsigned incarnation)
+asio::awaitable<http_response> fake_target::execute(http_request request, asio::ip::address from,
+                                                    unsigned incarnation)
 {
     const std::string id{request["X-Request-Id"]};
     auto response = make_response(200, "done\n");
@@ -306,8 +307,13 @@
     }
     const bool lethal = request.find("X-Lethal") != request.end();
     const auto run = runs_.size();
-    runs_.push_back({id_, id, std::string{request.target()}, lethal, boot_clock::now(), {}, {}});
-    if (queue_.size() >= behaviour_.queue_length) {
+    runs_.push_back(
+        {id_, id, std::move(from), std::string{request.target()}, lethal, boot_clock::now(), {}, {}, {}});
+    if (retry_after_ || queue_.size() >= behaviour_.queue_length) {
+        if (retry_after_) {
+            response.set(http::field::retry_after, *retry_after_);
+            runs_[run].rest_asked = boot_clock::now();
+        }
         response.result(http::status::service_unavailable);
         response.set("X-Not-Executed", "1");
         name_limit(runs_[run].limit_sent);
--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -18,6 +18,8 @@
 struct target_run {
     std::string target;
     std::string request_id;
+    /// Address of the instance that sent the request.
+    asio::ip::address from;
     std::string path;
     bool lethal = false;
     /// Time when the request reached the target.
@@ -26,6 +28,8 @@
     std::optional<time_point> started;
     /// Time when the target sent a response that names its rate limit; nothing if it has not.
     std::optional<time_point> limit_sent;
+    /// Time when the target refused the request and asked for rest; nothing if it has not.
+    std::optional<time_point> rest_asked;
 };
 
 /// How a target fails after it has executed a request.
@@ -93,6 +97,9 @@
     {
         return limits_;
     }
+    /// Makes the target refuse all requests from now on and ask for rest.
+    /// @param retry_after value of the `Retry-After` header; nothing ends it.
+    void ask_for_rest(std::optional<std::string> retry_after) { retry_after_ = std::move(retry_after); }
     /// Sets how the target fails from now on, with every second request that it executes.
     void set_failure(target_failure failure) { failure_ = failure; }
     /// Ends the process: resets all connections, stops listening and restarts later.
@@ -116,7 +123,8 @@
     /// @returns whether the connection stays open.
     asio::awaitable<bool> respond(std::shared_ptr<connection> caller, http_response response);
     asio::awaitable<void> serve(std::shared_ptr<connection> caller, unsigned incarnation);
-    asio::awaitable<http_response> execute(http_request request, unsigned incarnation);
+    asio::awaitable<http_response> execute(http_request request, asio::ip::address from,
+                                           unsigned incarnation);
     /// Waits while a connection is silent.
     /// @returns whether the connection is still open.
     asio::awaitable<bool> wait_for_link(std::shared_ptr<connection> caller);
@@ -146,6 +154,7 @@
     std::deque<std::uint64_t> queue_;
     std::uint64_t next_ticket_ = 0;
     std::vector<std::pair<time_point, std::optional<double>>> limits_;
+    std::optional<std::string> retry_after_;
 };
 
 } // namespace teaseltally::test
