Send nothing to a target that has asked for rest until the rest is over

What callers saw: 503 with the cause "retry budget exhausted" for seconds, while each of their requests was sent twice to a target that had turned the instance away with 503 and Retry-After. Cause: no part of the request path read that header.

Change: what a response says about its target is decoded by read_statement and held by incarnation in target_statements. The choice of a target asks it, so that first sends, retries, hedged attempts, trials and waiting requests are held back alike; an attempt whose connection is being established is held back before it is written. With other targets free, they take the requests; with none, and for the owner of a key, requests are refused at once with the time until the first target is free, spread over half the rest. After it, each instance sends one request at a time until the target takes requests again.

--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -292,10 +292,19 @@
                                       time_point now) const;
     /// Returns whether the limit of a target allows no request now and requesting permits is of no use.
     [[nodiscard]] bool is_held_back(const target_node& target, time_point now) const;
-    /// Returns the time until a target can take the request if the limits of all of them hold it back.
-    [[nodiscard]] std::optional<microseconds> rate_limit_wait(const routed_request& request,
-                                                              const service_state& state) const;
-    [[nodiscard]] http_response make_rate_limit_response(routed_request& request, microseconds wait) const;
+    /// Until when statements of targets keep a request from being sent.
+    struct hold_back {
+        microseconds wait{0};
+        /// Time over which the returns of callers are spread after `wait`.
+        microseconds spread{0};
+        std::string_view cause;
+    };
+    /// Returns what keeps a target from getting a request now; nothing if it may take one or will soon.
+    [[nodiscard]] std::optional<hold_back> hold_back_of(const target_node& target, time_point now) const;
+    /// Returns the hold-back that ends first if all targets that could take the request have one.
+    [[nodiscard]] std::optional<hold_back> hold_back_of(const routed_request& request,
+                                                        const service_state& state) const;
+    [[nodiscard]] http_response make_hold_back_response(routed_request& request, const hold_back& held);
     [[nodiscard]] microseconds expected_wait(const routed_request& request, service_state& state) const;
     void start_attempt(const std::shared_ptr<routed_request>& request, std::shared_ptr<target_node> target,
                        std::unique_ptr<target_connection> connection);
@@ -306,9 +315,9 @@
                                                                            const target_node& target) const;
     void record_speed_sample(const routed_attempt& attempt, microseconds service_time);
     void record_attempt_end(const routed_request& request, routed_attempt& attempt);
-    /// Records what a response says about the rate limit of its target.
+    /// Records what a response says about its target.
+    void record_statement(const routed_request& request, const routed_attempt& attempt);
     void record_rate_limit(const routed_attempt& attempt);
-    void log_requested_rest(const routed_request& request, const routed_attempt& attempt) const;
     void log_lost_attempt(const routed_request& request, const routed_attempt& attempt) const;
     /// Passes what the end of an attempt says about its target and its request to the quarantine.
     void record_crash_evidence(const routed_request& request, const routed_attempt& attempt);
@@ -341,6 +350,7 @@
     log_sink log_;
     response_memory response_memory_{max_response_memory};
     std::shared_ptr<const route_table> table_;
+    target_statement_table statements_;
     std::map<std::string, std::shared_ptr<target_node>, std::less<>> targets_;
     std::map<std::string, service_state, std::less<>> services_;
     const ownership_log* ownership_ = nullptr;
--- a/include/teaseltally/net/target_node.hpp
+++ b/include/teaseltally/net/target_node.hpp
@@ -2,7 +2,7 @@
 
 #include <teaseltally/admission/crash_quarantine.hpp>
 #include <teaseltally/admission/target_load.hpp>
-#include <teaseltally/admission/target_rate_limits.hpp>
+#include <teaseltally/admission/target_statements.hpp>
 #include <teaseltally/knowledge/target_directory.hpp>
 #include <teaseltally/net/header_names.hpp>
 #include <teaseltally/net/http.hpp>
@@ -64,8 +64,10 @@
     /// @param entry registration of the target.
     /// @param target_endpoint address and port of the target.
     /// @param expected_service_time execution time that is assumed before the first measurement.
+    /// @param statements what the incarnation has said so far.
     target_node(asio::any_io_executor executor, target_entry entry, tcp_endpoint target_endpoint,
-                microseconds expected_service_time);
+                microseconds expected_service_time,
+                std::shared_ptr<target_statements> statements = std::make_shared<target_statements>());
 
     /// Returns the registration that was last applied.
     [[nodiscard]] const target_entry& entry() const noexcept { return entry_; }
@@ -73,6 +75,9 @@
     void update(target_entry entry, time_point now);
     /// Returns the load of the target as estimated by this instance.
     [[nodiscard]] target_load& load() noexcept { return load_; }
+    /// Returns what the target has said about itself.
+    [[nodiscard]] target_statements& statements() noexcept { return *statements_; }
+    [[nodiscard]] const target_statements& statements() const noexcept { return *statements_; }
     /// Returns the name of the target incarnation that is registered.
     [[nodiscard]] const std::string& incarnation() const noexcept { return incarnation_; }
     /// Returns the address and port of the target.
@@ -112,6 +117,7 @@
     std::string incarnation_;
     tcp_endpoint endpoint_;
     target_load load_;
+    std::shared_ptr<target_statements> statements_;
     std::vector<std::unique_ptr<target_connection>> idle_connections_;
     unsigned open_connections_ = 0;
     time_point connection_failed_at_{};
@@ -155,10 +161,10 @@
     connection_failure failure = connection_failure::none;
     /// Whether a reused connection failed before a byte of the response was received.
     bool stale_connection = false;
-    /// Load that the target reported with its response.
-    std::optional<reported_load> load;
-    /// Rate limit that the target named in its response.
-    rate_limit_statement rate_limit;
+    /// Whether the request was not sent because the target asked for rest while a connection was established.
+    bool held_back = false;
+    /// What the target said about itself in its response.
+    target_statement statement;
     /// Cause of a failure, for the log.
     std::string reason;
 };
--- a/include/teaseltally/teaseltally.hpp
+++ b/include/teaseltally/teaseltally.hpp
@@ -55,3 +55,5 @@
 #include <teaseltally/admission/crash_quarantine.hpp>
 #include <teaseltally/admission/retry_token_bucket.hpp>
 #include <teaseltally/admission/target_load.hpp>
+#include <teaseltally/admission/target_rate_limits.hpp>
+#include <teaseltally/admission/target_statements.hpp>
--- a/src/net/request_attempts.cpp
+++ b/src/net/request_attempts.cpp
@@ -92,6 +92,7 @@
     auto& load = attempt->target->load();
     attempt->occupancy = load.occupancy(now) + 1;
     load.on_request_sent(now);
+    attempt->target->statements().on_request_sent(now);
     reachability_.on_request_sent(now);
     ++request->sends;
     request->attempts.push_back(attempt);
@@ -116,7 +117,7 @@
 void request_router::record_speed_sample(const routed_attempt& attempt, microseconds service_time)
 {
     const auto& load = attempt.target->load();
-    const bool saturated = attempt.result.load && attempt.result.load->waiting > 0;
+    const bool saturated = attempt.result.statement.load && attempt.result.statement.load->waiting > 0;
     auto& samples = traffic_.speeds[attempt.target->entry().id];
     ++samples.answers;
     if (saturated)
@@ -139,8 +140,8 @@
         reachability_.on_connection_failed(attempt.target->entry().id);
     else if (result.status != exchange_status::outcome_unknown || result.failure == connection_failure::none)
         record_contact();
-    if (result.load)
-        load.on_load_report(now, *result.load);
+    if (result.statement.load)
+        load.on_load_report(now, *result.statement.load);
     if (!state.waiting.empty()) {
         const auto interval =
             std::min(static_cast<double>((now - state.last_attempt_ended_at).count()), us_per_s);
@@ -157,11 +158,10 @@
         break;
     }
     case exchange_status::not_executed:
-        log_requested_rest(request, attempt);
-        if (result.connected)
-            load.on_refusal(now);
-        else
+        if (!result.connected)
             load.on_failure(now);
+        else if (!result.held_back)
+            load.on_refusal(now);
         break;
     case exchange_status::misdirected:
         if (!request.key)
@@ -173,7 +173,7 @@
         log_lost_attempt(request, attempt);
         break;
     }
-    record_rate_limit(attempt);
+    record_statement(request, attempt);
     record_crash_evidence(request, attempt);
     wake_waiting(state);
 }
@@ -194,20 +194,6 @@
              .text());
 }
 
-void request_router::log_requested_rest(const routed_request& request, const routed_attempt& attempt) const
-{
-    const auto retry_after = attempt.result.response[http::field::retry_after];
-    if (retry_after.empty())
-        return;
-    log_(log_line("target_rest")
-             .add("id", request.id)
-             .add("target", attempt.target->entry().id)
-             .add("status", attempt.result.response.result_int())
-             .add("retry_after", std::string{retry_after})
-             .add("sends", request.sends)
-             .text());
-}
-
 std::optional<http_response> request_router::handle_result(routed_request& request, routed_attempt& attempt)
 {
     attempt.handled = true;
@@ -226,7 +212,7 @@
         }
         return std::move(result.response);
     case exchange_status::not_executed:
-        if (!result.connected)
+        if (!result.connected || result.held_back)
             --request.sends;
         request.cause = result.connected ? "target refused the request" : "target unreachable";
         return std::nullopt;
--- a/src/net/request_choice.cpp
+++ b/src/net/request_choice.cpp
@@ -71,6 +71,8 @@
 {
     const auto now = boot_clock::now();
     auto& load = node.load();
+    if (!node.statements().may_send(now))
+        return false;
     return (keyed || load.usable(now)) && load.occupancy(now) + 1 <= load.slots() * max_requests_per_slot;
 }
 
--- a/src/net/request_links.cpp
+++ b/src/net/request_links.cpp
@@ -116,7 +116,8 @@
         return false;
     if (request.key) {
         const auto owner = owner_of(request);
-        return owner && is_unreachable(*owner);
+        // Another instance must not send what the target has asked this one not to send.
+        return owner && is_unreachable(*owner) && !owner->statements().is_resting(now);
     }
     const auto unreachable =
         std::ranges::count_if(state.targets, [&](const auto& target) { return is_unreachable(*target); });
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -120,7 +120,8 @@
     auto& state = state_of(entry.service);
     auto node =
         std::make_shared<target_node>(executor_, entry, std::get<tcp_endpoint>(address),
-                                      state.targets.empty() ? initial_service_time : state.service_time);
+                                      state.targets.empty() ? initial_service_time : state.service_time,
+                                      statements_.of(incarnation_name(entry.id, entry.start_unix_ms)));
     targets_.emplace(entry.id, node);
     state.targets.push_back(node);
     wake_waiting(state);
@@ -165,6 +166,7 @@
     const auto now = boot_clock::now();
     for (auto& [id, node] : targets_)
         node->close_idle(now, false);
+    statements_.remove_expired(now);
     std::erase_if(relay_backoffs_, [&](const auto& backoff) { return backoff.second <= now; });
 }
 
@@ -387,9 +389,12 @@
             }
             if (request->unknown_outcomes >= request->matched_route->max_attempts ||
                 (request->unknown_outcomes > 0 && is_last_crash_tolerated(*request)) ||
-                request->sends >= request->matched_route->max_attempts + extra_sends_after_refusal)
+                request->sends >= request->matched_route->max_attempts + extra_sends_after_refusal) {
+                if (const auto held = hold_back_of(*request, state); held && !running)
+                    co_return make_hold_back_response(*request, *held);
                 co_return make_failure_response(*request, request->cause,
                                                 std::chrono::duration_cast<milliseconds>(state.service_time));
+            }
             const bool has_token = !request->needs_retry_token() || state.retry_budget.tokens() >= 1;
             if (has_token && should_relay(*request, state)) {
                 if (start_relay(request))
@@ -406,8 +411,8 @@
             if (start != attempt_start::blocked)
                 continue;
             if (!running) {
-                if (const auto wait = rate_limit_wait(*request, state))
-                    co_return make_rate_limit_response(*request, *wait);
+                if (const auto held = hold_back_of(*request, state))
+                    co_return make_hold_back_response(*request, *held);
                 const auto wait = expected_wait(*request, state);
                 if (now + wait + state.service_time / 2 > request->deadline)
                     co_return make_failure_response(*request, "expected wait exceeds the deadline",
--- /dev/null
+++ b/src/net/request_statements.cpp
@@ -0,0 +1,135 @@
+#include <teaseltally/log_line.hpp>
+#include <teaseltally/net/request_router.hpp>
+
+#include <algorithm>
+
+namespace teaseltally {
+namespace {
+
+/// Minimum time that a caller is told to wait.
+constexpr milliseconds min_retry_after{50};
+/// The returns of callers after a rest are spread over its length divided by this, so that at most three
+/// times the usual number of requests arrives.
+constexpr int return_spread_divisor = 2;
+
+} // namespace
+
+void request_router::record_statement(const routed_request& request, const routed_attempt& attempt)
+{
+    auto& statements = attempt.target->statements();
+    statements.on_request_ended(attempt.started);
+    const auto& result = attempt.result;
+    const auto& statement = result.statement;
+    // Another target may have responded to a misdirected request.
+    const bool responded = result.response.result_int() != 0 && result.connected && !result.held_back;
+    if (!responded || result.status == exchange_status::misdirected)
+        return;
+    for (const auto& [header, value] : statement.rejected)
+        if (statements.record_rejected(header))
+            log_(log_line("target_statement_rejected")
+                     .add("target", attempt.target->entry().id)
+                     .add("header", header)
+                     .add("value", value)
+                     .text());
+    if (statement.rest && statement.rest->count() > 0)
+        log_(log_line("target_rest")
+                 .add("id", request.id)
+                 .add("target", attempt.target->entry().id)
+                 .add("rest_ms", statement.rest->count())
+                 .add("sends", request.sends)
+                 .text());
+    statements.apply(statement, attempt.started, boot_clock::now());
+    record_rate_limit(attempt);
+}
+
+void request_router::record_rate_limit(const routed_attempt& attempt)
+{
+    if (permits_ == nullptr)
+        return;
+    const auto& incarnation = attempt.target->incarnation();
+    const auto& result = attempt.result;
+    const auto& statement = result.statement.rate_limit;
+    // Only a response to an executed request is sure to name the limit if there is one.
+    if (!statement.present && result.status != exchange_status::answered)
+        return;
+    if (!permits_->on_response(incarnation, statement, attempt.started, boot_clock::now()))
+        return;
+    log_(log_line("target_limit")
+             .add("target", attempt.target->entry().id)
+             .add("per_s", statement.per_s ? std::to_string(*statement.per_s) : "none")
+             .text());
+    report_limit_(incarnation);
+}
+
+bool request_router::may_get_permit(const routed_request& request, const target_node& target,
+                                    time_point now) const
+{
+    if (permits_ == nullptr || permits_->has_permit(target.incarnation(), now))
+        return true;
+    const bool running =
+        std::ranges::any_of(request.attempts, [](const auto& attempt) { return !attempt->ended; });
+    return !running && !is_held_back(target, now);
+}
+
+bool request_router::is_held_back(const target_node& target, time_point now) const
+{
+    return permits_ != nullptr && !permits_->has_permit(target.incarnation(), now) &&
+           now < permits_->held_back_until(target.incarnation());
+}
+
+std::optional<request_router::hold_back> request_router::hold_back_of(const target_node& target,
+                                                                      time_point now) const
+{
+    std::optional<hold_back> held;
+    if (is_held_back(target, now))
+        held = {
+            permits_->held_back_until(target.incarnation()) - now, {}, "rate limits of the targets reached"};
+    const auto& statements = target.statements();
+    if (statements.is_resting(now) && (!held || statements.rest_until() - now > held->wait))
+        held = {statements.rest_until() - now, statements.rest_length() / return_spread_divisor,
+                "the targets have asked for rest"};
+    return held;
+}
+
+std::optional<request_router::hold_back> request_router::hold_back_of(const routed_request& request,
+                                                                      const service_state& state) const
+{
+    const auto now = boot_clock::now();
+    if (request.key) {
+        if (const auto owner = owner_of(request))
+            return hold_back_of(*owner, now);
+        // While a range moves, a request waits for its new owner only if it can be sent there afterwards.
+        const auto new_owner = owner_of(request, false);
+        if (!new_owner)
+            return std::nullopt;
+        if (const auto held = hold_back_of(*new_owner, now))
+            return held;
+        if (permits_ == nullptr || permits_->has_permit(new_owner->incarnation(), now))
+            return std::nullopt;
+        return hold_back{{}, {}, "rate limits of the targets reached"};
+    }
+    std::optional<hold_back> first;
+    for (const auto& target : state.targets) {
+        if (target->entry().draining)
+            continue;
+        const auto held = hold_back_of(*target, now);
+        if (!held)
+            return std::nullopt;
+        if (!first || held->wait < first->wait)
+            first = held;
+    }
+    return first;
+}
+
+http_response request_router::make_hold_back_response(routed_request& request, const hold_back& held)
+{
+    auto response = make_failure_response(request, std::string{held.cause}, {});
+    std::uniform_int_distribution<std::int64_t> spread(0, held.spread.count());
+    const auto wait = held.wait + microseconds{spread(random_)};
+    if (!request.may_have_executed)
+        response.set(boost::beast::http::field::retry_after,
+                     format_seconds(std::max(std::chrono::ceil<milliseconds>(wait), min_retry_after)));
+    return response;
+}
+
+} // namespace teaseltally
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -1,3 +1,4 @@
+#include <teaseltally/net/statement_reader.hpp>
 #include <teaseltally/net/target_node.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -5,7 +6,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <charconv>
 #include <sys/socket.h>
 
 namespace teaseltally {
@@ -45,18 +45,12 @@
     return std::max<microseconds>(deadline - boot_clock::now(), microseconds{0});
 }
 
-/// Returns the time for which the connection may stay idle after a response, from its Keep-Alive header.
-milliseconds idle_timeout(const http_response& response)
+/// Returns the time for which the connection may stay idle after a response.
+milliseconds usable_idle_time(const target_statement& statement)
 {
-    const auto value = response["Keep-Alive"];
-    const auto position = value.find("timeout=");
-    if (position == beast::string_view::npos)
+    if (!statement.idle_timeout)
         return default_idle_timeout;
-    unsigned seconds = 0;
-    const auto digits = value.substr(position + 8);
-    if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc{})
-        return default_idle_timeout;
-    return std::max(milliseconds{seconds * 1000} - idle_close_margin, milliseconds{0});
+    return std::max(*statement.idle_timeout - idle_close_margin, milliseconds{0});
 }
 
 connection_failure failure_of(const error_code& ec)
@@ -169,10 +163,7 @@
     [[nodiscard]] exchange_status classify(exchange_result& result, bool identified) const
     {
         const auto& response = result.response;
-        if (const auto text = response[headers_.load]; !text.empty())
-            result.load = parse_reported_load({text.data(), text.size()});
-        if (const auto text = response[headers_.rate_limit]; !text.empty())
-            result.rate_limit = {true, parse_rate_limit({text.data(), text.size()})};
+        result.statement = read_statement(response, headers_);
         if (!identified) {
             result.reason =
                 "response without the id of the request, status " + std::to_string(response.result_int());
@@ -204,10 +195,10 @@
 } // namespace
 
 target_node::target_node(asio::any_io_executor executor, target_entry entry, tcp_endpoint target_endpoint,
-                         microseconds expected_service_time)
+                         microseconds expected_service_time, std::shared_ptr<target_statements> statements)
     : executor_(std::move(executor)), entry_(std::move(entry)),
       incarnation_(incarnation_name(entry_.id, entry_.start_unix_ms)), endpoint_(std::move(target_endpoint)),
-      load_(entry_.slots, expected_service_time)
+      load_(entry_.slots, expected_service_time), statements_(std::move(statements))
 {
     load_.set_cold_until(boot_clock::now() + entry_.cold_remaining);
 }
@@ -282,6 +273,15 @@
         node->record_connection(true, boot_clock::now());
     }
     result.connected = true;
+    if (const auto now = boot_clock::now(); node->statements().is_resting(now)) {
+        result.status = exchange_status::not_executed;
+        result.held_back = true;
+        result.reason = "the target has asked for rest";
+        stream.expires_never();
+        connection->expires_at = now + default_idle_timeout;
+        node->release(std::move(connection));
+        co_return result;
+    }
     stream.expires_after(remaining_time(deadline));
     http::request_serializer<http::string_body> serializer{*request};
     const auto [write_failed, written] = co_await http::async_write(stream, serializer, as_result);
@@ -291,7 +291,7 @@
     co_await reader.read(result);
     if (reader.reusable() && !write_failed) {
         stream.expires_never();
-        connection->expires_at = boot_clock::now() + idle_timeout(result.response);
+        connection->expires_at = boot_clock::now() + usable_idle_time(result.statement);
         connection->last_request_id = std::string{(*request)[headers.request_id]};
         node->release(std::move(connection));
     }
--- a/tests/front_statement_tests.cpp
+++ b/tests/front_statement_tests.cpp
@@ -34,7 +34,9 @@
 
 deployment_options options_for(std::size_t fronts, bool keyed)
 {
-    deployment_options options{"safe", {}, fronts, 6};
+    deployment_options options;
+    options.fronts = fronts;
+    options.targets = 6;
     options.behaviour.keyed = keyed;
     options.behaviour.slots = 4;
     options.behaviour.service_time = milliseconds{50};
@@ -175,3 +177,45 @@
         CHECK(after.share() >= 0.99);
     }
 }
+
+// Guards against a rest that outlasts its incarnation, and against malformed times that stop a target.
+TEST_CASE("a rest ends with its incarnation, and a malformed time to rest is no rest")
+{
+    auto options = options_for(front_count, false);
+    options.behaviour.keeps_id = true;
+    deployment site(options);
+    auto& restarted = *site.targets[0];
+    time_point asked_at{};
+    time_point ended_at{};
+    run(site.io, [&]() -> asio::awaitable<void> {
+        co_await site.start();
+        start_load(site);
+        co_await sleep_for(milliseconds{1500});
+        asked_at = boot_clock::now();
+        const std::vector<std::string> values{"30", "-5", "Wed, 21 Oct 2026 07:28:00 GMT", "soon",
+                                              "99999999999"};
+        for (std::size_t index = 0; index < values.size(); ++index)
+            site.targets[index]->ask_for_rest(values[index]);
+        co_await sleep_for(milliseconds{2000});
+        restarted.ask_for_rest(std::nullopt);
+        ended_at = boot_clock::now();
+        restarted.end();
+        co_await sleep_for(milliseconds{4000});
+        site.stop_load();
+        co_await sleep_for(milliseconds{2200});
+    });
+    const auto arrivals = [&](std::size_t target, time_point from, time_point to) {
+        return std::ranges::count_if(site.runs, [&](const target_run& run) {
+            return run.target == site.targets[target]->id() && run.arrived > from && run.arrived < to;
+        });
+    };
+    CHECK(arrivals(0, asked_at + milliseconds{500}, ended_at) == 0);
+    CHECK(arrivals(0, ended_at + options.behaviour.restart_delay, ended_at + milliseconds{4000}) > 0);
+    for (const std::size_t malformed : {1, 2, 3})
+        CHECK(arrivals(malformed, asked_at + milliseconds{500}, ended_at + milliseconds{4000}) > 0);
+    CHECK(arrivals(4, asked_at + milliseconds{500}, ended_at + milliseconds{4000}) == 0);
+    std::size_t logged = 0;
+    for (const auto& front : site.fronts)
+        logged += front->output().find("event=target_statement_rejected") != std::string::npos ? 1 : 0;
+    CHECK(logged > 0);
+}
