Send nothing to a target that has answered that it leaves, and move its keys

What callers saw: nothing yet; the target got requests after it had said it leaves, and ends while it runs them. Cause: only the registration was read, which may follow late, never, or not while the store is away.

Change: Server-Leaving is one more of the statements that read_statement decodes, in answers to requests and to orders. It counts until the incarnation ends. Reports of traffic and their answers carry it to the other instances and to the coordinator, which moves the keys as it does for a draining registration. Requests for keys that nobody moves are refused at once after 1 s.

--- a/include/teaseltally/admission/target_statements.hpp
+++ b/include/teaseltally/admission/target_statements.hpp
@@ -30,6 +30,8 @@
     rate_limit_statement rate_limit;
     /// Time from the response during which the target wants no requests from this instance.
     std::optional<milliseconds> rest;
+    /// Whether the target is leaving.
+    bool leaving = false;
     /// Time for which the connection may stay idle.
     std::optional<milliseconds> idle_timeout;
     /// Headers that were ignored.
@@ -47,6 +49,12 @@
     /// Applies a response.
     /// @param sent_at time when the request of the response was sent.
     void apply(const target_statement& statement, time_point sent_at, time_point now);
+    /// Records that the target has said that it is leaving, perhaps to another instance.
+    /// @returns whether it was not known.
+    bool mark_leaving(time_point now) noexcept;
+    /// Returns the time since which the target is known to be leaving; nothing if it is not. An incarnation
+    /// that leaves does not come back.
+    [[nodiscard]] const std::optional<time_point>& leaving_since() const noexcept { return leaving_since_; }
     /// Records that a request was sent.
     void on_request_sent(time_point now) noexcept;
     /// Records that a request ended, with any outcome; called before the response is applied.
@@ -62,7 +70,7 @@
     /// Returns whether a request may be sent now.
     [[nodiscard]] bool may_send(time_point now) const noexcept
     {
-        return !is_resting(now) && !(returning_ && trial_sent_at_);
+        return !leaving_since_ && !is_resting(now) && !(returning_ && trial_sent_at_);
     }
     /// Records a header that was ignored.
     /// @returns whether it is the first one with this name, that is, whether to log it.
@@ -71,6 +79,7 @@
     [[nodiscard]] bool is_outdated(time_point now) const noexcept;
 
 private:
+    std::optional<time_point> leaving_since_;
     time_point rest_until_{};
     milliseconds rest_length_{0};
     /// Whether no response since the rest has shown that the target takes requests again.
--- a/include/teaseltally/knowledge/traffic_report.hpp
+++ b/include/teaseltally/knowledge/traffic_report.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -15,14 +16,17 @@
 
 namespace teaseltally {
 
-/// Requests by key and speeds of keyed targets, observed since the last report.
+/// Requests by key and speeds of keyed targets, observed since the last report, and targets that are leaving.
 struct traffic_report {
     /// Number of requests by service and key number.
     std::map<std::string, std::map<key_number, unsigned>, std::less<>> requests;
     /// Speed samples by target id.
     std::map<std::string, speed_report, std::less<>> speeds;
 
-    /// Adds the request counts and speed samples of another report.
+    /// Incarnations of targets that have said that they are leaving although their registrations do not.
+    std::set<std::string, std::less<>> leaving;
+
+    /// Adds the content of another report.
     void merge(const traffic_report& other);
 };
 
@@ -39,6 +43,20 @@
     traffic_report traffic;
 };
 
+/// Answer to a report.
+struct report_answer {
+    /// Number of instances, as counted by the coordinator; nothing if it is not known.
+    std::optional<unsigned> instance_count;
+    /// Incarnations of targets that are leaving, as in `traffic_report`.
+    std::set<std::string, std::less<>> leaving;
+};
+
+/// Returns the answer to a report as a JSON message.
+[[nodiscard]] std::string encode(const report_answer& answer);
+/// Parses the answer to a report.
+/// @returns the answer, or nothing if any part of the message is malformed.
+[[nodiscard]] std::optional<report_answer> decode_report_answer(std::string_view text);
+
 /// Returns the report as a JSON message.
 [[nodiscard]] std::string encode(const instance_report& report);
 /// Parses the message of a report.
--- a/include/teaseltally/net/header_names.hpp
+++ b/include/teaseltally/net/header_names.hpp
@@ -27,6 +27,8 @@
     /// Requests per second that the target accepts from all instances together, as a decimal number. Absent
     /// if the target does not limit them.
     std::string rate_limit = "tt-rate-limit";
+    /// Set to 1 by a target that is leaving.
+    std::string leaving = "tt-leaving";
 };
 
 } // namespace teaseltally
--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -208,6 +208,15 @@
     /// Routes a request that another instance passed on.
     /// @returns the message of its result.
     [[nodiscard]] asio::awaitable<http_response> serve_relayed(relayed_request received);
+    /// Records that a target has said that it is leaving, to this instance or to another one. Ignored if its
+    /// incarnation is not registered.
+    void record_leaving(const std::string& incarnation);
+    /// Returns the incarnations of targets that have said that they are leaving although their registrations
+    /// do not say so.
+    [[nodiscard]] const std::set<std::string, std::less<>>& leaving_targets() const noexcept
+    {
+        return leaving_targets_;
+    }
     /// Wakes the requests that wait for the owner of their key.
     void on_ownership_changed();
     /// Sets the number of instances that share the limits on retries and connections; zero counts as one.
@@ -245,6 +254,10 @@
 
     class waiting_guard;
     class attempts_guard;
+    /// Time from the arrival of a request after which it is sent to the new owner of its range even if the
+    /// grant to the new owner has not been observed, and for which requests wait until the keys of a leaving
+    /// target have moved.
+    static constexpr milliseconds max_handover_time{1000};
     /// Interval between probes of the links while no target can be reached.
     static constexpr milliseconds link_probe_interval{500};
 
@@ -258,6 +271,10 @@
     /// @param granted whether a target counts only once the range has been granted to it.
     [[nodiscard]] std::shared_ptr<target_node> owner_of(const routed_request& request,
                                                         bool granted = true) const;
+    /// Returns the target in the log as the owner of the key of a request, also if it is leaving; null if it
+    /// is not registered.
+    [[nodiscard]] std::shared_ptr<target_node> recorded_owner_of(const routed_request& request,
+                                                                 bool granted) const;
     [[nodiscard]] bool may_send_to_owner(const routed_request& request, const target_node& owner) const;
     [[nodiscard]] bool has_capacity(target_node& node, bool keyed) const;
     /// Returns whether a request is to be passed to another instance instead of being sent to a target.
@@ -299,6 +316,9 @@
         microseconds spread{0};
         std::string_view cause;
     };
+    /// Returns what keeps a request from being sent while its owner is leaving and its key has not moved.
+    [[nodiscard]] std::optional<hold_back> hold_back_of_move(const routed_request& request,
+                                                             time_point now) const;
     /// Returns what keeps a target from getting a request now; nothing if it may take one or will soon.
     [[nodiscard]] std::optional<hold_back> hold_back_of(const target_node& target, time_point now) const;
     /// Returns the hold-back that ends first if all targets that could take the request have one.
@@ -351,6 +371,7 @@
     response_memory response_memory_{max_response_memory};
     std::shared_ptr<const route_table> table_;
     target_statement_table statements_;
+    std::set<std::string, std::less<>> leaving_targets_;
     std::map<std::string, std::shared_ptr<target_node>, std::less<>> targets_;
     std::map<std::string, service_state, std::less<>> services_;
     const ownership_log* ownership_ = nullptr;
--- a/include/teaseltally/net/target_node.hpp
+++ b/include/teaseltally/net/target_node.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <string_view>
 #include <vector>
@@ -78,6 +79,16 @@
     /// Returns what the target has said about itself.
     [[nodiscard]] target_statements& statements() noexcept { return *statements_; }
     [[nodiscard]] const target_statements& statements() const noexcept { return *statements_; }
+    /// Returns the time since which the target is known to be leaving, from its registration or from what it
+    /// has said; nothing if it is not.
+    [[nodiscard]] std::optional<time_point> leaving_since() const noexcept
+    {
+        const auto& said = statements_->leaving_since();
+        return entry_.draining && said ? std::min(draining_since_, said)
+                                       : (entry_.draining ? draining_since_ : said);
+    }
+    /// Returns whether the target is leaving, so that it gets no new requests.
+    [[nodiscard]] bool is_leaving() const noexcept { return leaving_since().has_value(); }
     /// Returns the name of the target incarnation that is registered.
     [[nodiscard]] const std::string& incarnation() const noexcept { return incarnation_; }
     /// Returns the address and port of the target.
@@ -117,6 +128,8 @@
     std::string incarnation_;
     tcp_endpoint endpoint_;
     target_load load_;
+    /// Time since which the registration says that the target is leaving, if it says so.
+    std::optional<time_point> draining_since_;
     std::shared_ptr<target_statements> statements_;
     std::vector<std::unique_ptr<target_connection>> idle_connections_;
     unsigned open_connections_ = 0;
@@ -161,7 +174,8 @@
     connection_failure failure = connection_failure::none;
     /// Whether a reused connection failed before a byte of the response was received.
     bool stale_connection = false;
-    /// Whether the request was not sent because the target asked for rest while a connection was established.
+    /// Whether the request was not sent because the target asked for rest, or became known to be leaving,
+    /// while a connection was established.
     bool held_back = false;
     /// What the target said about itself in its response.
     target_statement statement;
--- a/include/teaseltally/ownership/range_manager.hpp
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -127,6 +128,16 @@
     bool directory_complete = false;
     /// Rate limits of targets, which bound their capacity; null if none are known.
     const rate_limit_table* rate_limits = nullptr;
+    /// Incarnations of targets that are leaving although their registrations do not say so; null if none are
+    /// known.
+    const std::set<std::string, std::less<>>* leaving = nullptr;
+
+    /// Returns whether a target is leaving, so that it must not own keys.
+    [[nodiscard]] bool is_leaving(const target_entry& entry) const
+    {
+        return entry.draining ||
+               (leaving != nullptr && leaving->contains(incarnation_name(entry.id, entry.start_unix_ms)));
+    }
 };
 
 /// Coordinates key ownership in one instance. The class performs no I/O and reads no clock: it receives
--- a/src/admission/target_statements.cpp
+++ b/src/admission/target_statements.cpp
@@ -9,7 +9,8 @@
 
 /// Longest rest that is kept to at once; a target that needs more asks again.
 constexpr milliseconds max_rest{600'000};
-/// Time after the end of a rest for which its incarnation is remembered without a registration.
+/// Time after the end of a rest, or the first statement that it leaves, for which an incarnation is
+/// remembered without a registration.
 constexpr milliseconds lifetime{600'000};
 constexpr double ms_per_s = 1000;
 
@@ -37,6 +38,8 @@
 
 void target_statements::apply(const target_statement& statement, time_point sent_at, time_point now)
 {
+    if (statement.leaving)
+        mark_leaving(now);
     if (statement.rest && statement.rest->count() > 0) {
         if (now + *statement.rest > rest_until_) {
             rest_until_ = now + *statement.rest;
@@ -50,6 +53,14 @@
         returning_ = false;
 }
 
+bool target_statements::mark_leaving(time_point now) noexcept
+{
+    if (leaving_since_)
+        return false;
+    leaving_since_ = now;
+    return true;
+}
+
 void target_statements::on_request_sent(time_point now) noexcept
 {
     if (returning_)
@@ -64,7 +75,7 @@
 
 bool target_statements::is_outdated(time_point now) const noexcept
 {
-    return now >= rest_until_ + lifetime;
+    return now >= std::max(rest_until_, leaving_since_.value_or(time_point{})) + lifetime;
 }
 
 std::shared_ptr<target_statements> target_statement_table::of(const std::string& incarnation)
--- a/src/knowledge/traffic_report.cpp
+++ b/src/knowledge/traffic_report.cpp
@@ -45,6 +45,29 @@
     return true;
 }
 
+void encode_leaving(const std::set<std::string, std::less<>>& incarnations, Json::Value& out)
+{
+    for (const auto& incarnation : incarnations)
+        out["leaving"].append(incarnation);
+}
+
+/// Reads the leaving targets of a message, which has none if the member is missing.
+/// @returns false if they are malformed.
+bool decode_leaving(const Json::Value& message, std::set<std::string, std::less<>>& out)
+{
+    const auto& incarnations = message["leaving"];
+    if (incarnations.isNull())
+        return true;
+    if (!incarnations.isArray())
+        return false;
+    for (const auto& incarnation : incarnations) {
+        if (!incarnation.isString())
+            return false;
+        out.insert(incarnation.asString());
+    }
+    return true;
+}
+
 } // namespace
 
 void traffic_report::merge(const traffic_report& other)
@@ -61,6 +84,7 @@
         sum.unqueued += samples.unqueued;
         sum.unqueued_total += samples.unqueued_total;
     }
+    leaving.insert(other.leaving.begin(), other.leaving.end());
 }
 
 std::string encode(const instance_report& report)
@@ -86,6 +110,7 @@
         row.append(samples.unqueued);
         row.append(Json::Value{static_cast<Json::Int64>(samples.unqueued_total.count())});
     }
+    encode_leaving(report.traffic.leaving, object);
     return json_text(object);
 }
 
@@ -104,11 +129,37 @@
     if (const auto& session = (*object)["coordinator"]; session.isUInt64())
         report.coordinator = session.asUInt64();
     if (!decode_requests((*object)["load"], report.traffic) ||
-        !decode_speeds((*object)["speed"], report.traffic))
+        !decode_speeds((*object)["speed"], report.traffic) ||
+        !decode_leaving(*object, report.traffic.leaving))
         return std::nullopt;
     return report;
 }
 
+std::string encode(const report_answer& answer)
+{
+    Json::Value object(Json::objectValue);
+    if (answer.instance_count)
+        object["instances"] = *answer.instance_count;
+    encode_leaving(answer.leaving, object);
+    return json_text(object);
+}
+
+std::optional<report_answer> decode_report_answer(std::string_view text)
+{
+    const auto parsed = parse_json(text, "report answer");
+    const auto* object = std::get_if<Json::Value>(&parsed);
+    if (object == nullptr || !object->isObject())
+        return std::nullopt;
+    report_answer answer;
+    if (const auto& instances = (*object)["instances"]; instances.isUInt())
+        answer.instance_count = instances.asUInt();
+    else if (!instances.isNull())
+        return std::nullopt;
+    if (!decode_leaving(*object, answer.leaving))
+        return std::nullopt;
+    return answer;
+}
+
 void report_aggregator::add(const instance_report& report, time_point now)
 {
     reporters_[report.instance] = {report.instance_count, now};
--- a/src/net/request_choice.cpp
+++ b/src/net/request_choice.cpp
@@ -11,9 +11,6 @@
 constexpr double data_centre_crossing_share = 0.5;
 /// Share of the connection limit of a service that all instances together use.
 constexpr double connection_cap_share = 0.8;
-/// Time from the arrival of a request after which it is sent to the new owner of its range even if the grant
-/// to the new owner has not been observed.
-constexpr milliseconds max_handover_time{1000};
 /// Time before a request is sent again to a target that refused it as misdirected or was unreachable.
 constexpr milliseconds misdirected_retry_delay{150};
 /// Connection limit of a service without settings.
@@ -43,6 +40,13 @@
 }
 
 std::shared_ptr<target_node> request_router::owner_of(const routed_request& request, bool granted) const
+{
+    auto owner = recorded_owner_of(request, granted);
+    return owner && !owner->is_leaving() ? owner : nullptr;
+}
+
+std::shared_ptr<target_node> request_router::recorded_owner_of(const routed_request& request,
+                                                               bool granted) const
 {
     const auto* owners = ownership_ == nullptr ? nullptr : ownership_->find(request.service);
     const auto* range = owners == nullptr ? nullptr : owners->find(*request.key);
@@ -51,8 +55,7 @@
                              boot_clock::now() - request.received_at < max_handover_time))
         return nullptr;
     const auto found = targets_.find(range->owner.id);
-    if (found == targets_.end() || found->second->entry().draining ||
-        found->second->entry().service != request.service)
+    if (found == targets_.end() || found->second->entry().service != request.service)
         return nullptr;
     return found->second;
 }
@@ -96,7 +99,7 @@
     double best_cost = 0;
     std::uniform_real_distribution<double> cost_jitter(0.95, 1.05);
     for (const auto& node : state.targets) {
-        if (node->entry().draining || !has_capacity(*node, false) || !may_get_permit(request, *node, now))
+        if (node->is_leaving() || !has_capacity(*node, false) || !may_get_permit(request, *node, now))
             continue;
         const bool already_tried = std::ranges::any_of(
             request.attempts, [&](const auto& attempt) { return attempt->target == node; });
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -104,8 +104,10 @@
         if (node.entry().address == entry.address && node.entry().start_unix_ms == entry.start_unix_ms &&
             node.entry().service == entry.service) {
             node.update(entry, now);
-            if (entry.draining)
+            if (entry.draining) {
                 node.close_idle(now, true);
+                leaving_targets_.erase(node.incarnation());
+            }
             return;
         }
         record_target_end(node);
@@ -123,6 +125,8 @@
                                       state.targets.empty() ? initial_service_time : state.service_time,
                                       statements_.of(incarnation_name(entry.id, entry.start_unix_ms)));
     targets_.emplace(entry.id, node);
+    if (node->is_leaving() && !entry.draining)
+        leaving_targets_.insert(node->incarnation());
     state.targets.push_back(node);
     wake_waiting(state);
 }
@@ -132,12 +136,13 @@
     const auto found = targets_.find(id);
     if (found == targets_.end())
         return;
-    // A target that was shutting down has closed its connections on purpose.
-    if (!found->second->entry().draining)
+    // A target that was leaving has closed its connections on purpose.
+    if (!found->second->is_leaving())
         record_target_end(*found->second);
     auto& state = state_of(found->second->entry().service);
     std::erase(state.targets, found->second);
     found->second->close_idle(boot_clock::now(), true);
+    leaving_targets_.erase(found->second->incarnation());
     targets_.erase(found);
 }
 
@@ -172,6 +177,7 @@
 
 traffic_report request_router::extract_traffic()
 {
+    traffic_.leaving.insert(leaving_targets_.begin(), leaving_targets_.end());
     return std::exchange(traffic_, {});
 }
 
--- a/src/net/request_statements.cpp
+++ b/src/net/request_statements.cpp
@@ -8,6 +8,8 @@
 
 /// Minimum time that a caller is told to wait.
 constexpr milliseconds min_retry_after{50};
+/// Time after which a caller may return if nothing is known of the move of its key.
+constexpr milliseconds key_move_retry_time{500};
 /// The returns of callers after a rest are spread over its length divided by this, so that at most three
 /// times the usual number of requests arrives.
 constexpr int return_spread_divisor = 2;
@@ -38,10 +40,26 @@
                  .add("rest_ms", statement.rest->count())
                  .add("sends", request.sends)
                  .text());
+    if (statement.leaving)
+        record_leaving(attempt.target->incarnation());
     statements.apply(statement, attempt.started, boot_clock::now());
     record_rate_limit(attempt);
 }
 
+void request_router::record_leaving(const std::string& incarnation)
+{
+    const auto found = targets_.find(std::string_view{incarnation}.substr(0, incarnation.rfind('@')));
+    if (found == targets_.end() || found->second->incarnation() != incarnation)
+        return;
+    auto& target = *found->second;
+    const auto now = boot_clock::now();
+    if (target.entry().draining || !target.statements().mark_leaving(now))
+        return;
+    leaving_targets_.insert(incarnation);
+    target.close_idle(now, true);
+    log_(log_line("target_leaving").add("target", target.entry().id).text());
+}
+
 void request_router::record_rate_limit(const routed_attempt& attempt)
 {
     if (permits_ == nullptr)
@@ -101,7 +119,7 @@
         // While a range moves, a request waits for its new owner only if it can be sent there afterwards.
         const auto new_owner = owner_of(request, false);
         if (!new_owner)
-            return std::nullopt;
+            return hold_back_of_move(request, now);
         if (const auto held = hold_back_of(*new_owner, now))
             return held;
         if (permits_ == nullptr || permits_->has_permit(new_owner->incarnation(), now))
@@ -110,7 +128,7 @@
     }
     std::optional<hold_back> first;
     for (const auto& target : state.targets) {
-        if (target->entry().draining)
+        if (target->is_leaving())
             continue;
         const auto held = hold_back_of(*target, now);
         if (!held)
@@ -121,6 +139,15 @@
     return first;
 }
 
+std::optional<request_router::hold_back> request_router::hold_back_of_move(const routed_request& request,
+                                                                           time_point now) const
+{
+    const auto owner = recorded_owner_of(request, false);
+    if (!owner || now - *owner->leaving_since() < max_handover_time)
+        return std::nullopt;
+    return hold_back{key_move_retry_time, key_move_retry_time, "the owner of the key is leaving"};
+}
+
 http_response request_router::make_hold_back_response(routed_request& request, const hold_back& held)
 {
     auto response = make_failure_response(request, std::string{held.cause}, {});
--- a/src/net/statement_reader.cpp
+++ b/src/net/statement_reader.cpp
@@ -21,6 +21,12 @@
     return std::chrono::seconds{seconds};
 }
 
+/// Returns true for "1"; nothing for other texts.
+std::optional<bool> parse_leaving(std::string_view value) noexcept
+{
+    return value == "1" ? std::optional{true} : std::nullopt;
+}
+
 } // namespace
 
 target_statement read_statement(const http_response& response, const header_names& headers)
@@ -41,6 +47,7 @@
     // With other statuses, the header does not concern the target as a whole.
     if (response.result() == http::status::service_unavailable)
         statement.rest = read("Retry-After", parse_rest);
+    statement.leaving = read(headers.leaving, parse_leaving).has_value();
     const auto keep_alive = response["Keep-Alive"];
     statement.idle_timeout = parse_idle_timeout({keep_alive.data(), keep_alive.size()});
     return statement;
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -200,7 +200,10 @@
       incarnation_(incarnation_name(entry_.id, entry_.start_unix_ms)), endpoint_(std::move(target_endpoint)),
       load_(entry_.slots, expected_service_time), statements_(std::move(statements))
 {
-    load_.set_cold_until(boot_clock::now() + entry_.cold_remaining);
+    const auto now = boot_clock::now();
+    load_.set_cold_until(now + entry_.cold_remaining);
+    if (entry_.draining)
+        draining_since_ = now;
 }
 
 void target_node::update(target_entry entry, time_point now)
@@ -208,6 +211,8 @@
     if (entry.cold_remaining.count() > 0)
         load_.set_cold_until(now + entry.cold_remaining);
     load_.set_slots(entry.slots);
+    if (entry.draining && !entry_.draining)
+        draining_since_ = now;
     entry_ = std::move(entry);
 }
 
@@ -273,10 +278,10 @@
         node->record_connection(true, boot_clock::now());
     }
     result.connected = true;
-    if (const auto now = boot_clock::now(); node->statements().is_resting(now)) {
+    if (const auto now = boot_clock::now(); node->is_leaving() || node->statements().is_resting(now)) {
         result.status = exchange_status::not_executed;
         result.held_back = true;
-        result.reason = "the target has asked for rest";
+        result.reason = "the target has asked for rest or is leaving";
         stream.expires_never();
         connection->expires_at = now + default_idle_timeout;
         node->release(std::move(connection));
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -277,7 +277,7 @@
     const auto average_us = average_service_us(view, service);
     std::vector<balance_target> targets;
     for (const auto& [id, entry] : view.directory.entries()) {
-        if (entry.service != service || entry.draining)
+        if (entry.service != service || view.is_leaving(entry))
             continue;
         if (is_unavailable(now, service, id))
             continue;
@@ -317,7 +317,7 @@
             return true;
         if (entry == nullptr)
             return view.directory_complete;
-        return entry->draining || entry->service != service ||
+        return view.is_leaving(*entry) || entry->service != service ||
                entry->start_unix_ms != range.owner.start_unix_ms;
     };
     std::vector<balance_move> moves;
--- a/tests/front_statement_tests.cpp
+++ b/tests/front_statement_tests.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds refusal_time{150};
 /// Requests per second of all callers together.
 constexpr std::int64_t load_per_s = 160;
+/// Rule DRAIN: a request that its caller sent this time after an instance had passed on that a target is
+/// leaving must not reach that target from that instance.
+constexpr milliseconds drain_time{2000};
 constexpr milliseconds rest{4000};
 constexpr auto rest_text = "4";
 
@@ -77,6 +80,26 @@
     return end;
 }
 
+/// Returns the number of requests that reached targets which had told the instance long before that they
+/// leave.
+std::ptrdiff_t sent_to_leaving(const deployment& site)
+{
+    std::map<std::string, time_point> sent_at;
+    for (const auto& answer : site.load_answers)
+        sent_at.emplace(answer.id, answer.sent);
+    std::map<std::pair<std::string, asio::ip::address>, time_point> told_at;
+    for (const auto& run : site.runs)
+        if (run.leaving_said) {
+            auto& told = told_at.try_emplace({run.target, run.from}, *run.leaving_said).first->second;
+            told = std::min(told, *run.leaving_said);
+        }
+    return std::ranges::count_if(site.runs, [&](const target_run& run) {
+        const auto told = told_at.find({run.target, run.from});
+        return told != told_at.end() && sent_at.contains(run.request_id) &&
+               sent_at.at(run.request_id) > told->second + drain_time;
+    });
+}
+
 time_point return_time(const caller_answer& answer)
 {
     return answer.ended +
@@ -219,3 +242,67 @@
         logged += front->output().find("event=target_statement_rejected") != std::string::npos ? 1 : 0;
     CHECK(logged > 0);
 }
+
+// Guards against requests to targets that leave before the registry says so.
+TEST_CASE("targets that say they leave get no more requests, and their keys move")
+{
+    for (const auto& example :
+         std::vector<statement_case>{{1, false, 2}, {4, false, 2}, {4, true, 2}, {12, true, 2}}) {
+        INFO(name_of(example));
+        deployment site(options_for(example.fronts, example.keyed));
+        time_point said_at{};
+        run(site.io, [&]() -> asio::awaitable<void> {
+            co_await site.start();
+            start_load(site);
+            co_await sleep_for(milliseconds{2000});
+            said_at = boot_clock::now();
+            for (std::size_t index = 0; index < example.speaking; ++index)
+                site.targets[index]->say_leaving();
+            co_await sleep_for(milliseconds{6000});
+            site.stop_load();
+            co_await sleep_for(milliseconds{2200});
+        });
+        const auto told = answers_between(site, said_at, said_at + milliseconds{5900});
+        const auto arrivals = std::ranges::count_if(site.runs, [&](const target_run& run) {
+            return run.leaving_said && run.arrived > said_at + milliseconds{1500};
+        });
+        MESSAGE(name_of(example) << ": " << sent_to_leaving(site) << " sent late; " << arrivals
+                                 << " from 1.5 s on; served " << told.served << " of " << told.sent);
+        CHECK(sent_to_leaving(site) == 0);
+        // Instances that were not told learn it from those that were.
+        CHECK(arrivals == 0);
+        CHECK(told.share() >= 0.99);
+    }
+}
+
+// Guards against callers that wait for the move of a key while nobody can move it.
+TEST_CASE("while the store is away, requests for keys of a leaving owner are refused at once")
+{
+    deployment site(options_for(front_count, true));
+    time_point said_at{};
+    run(site.io, [&]() -> asio::awaitable<void> {
+        co_await site.start();
+        start_load(site);
+        co_await sleep_for(milliseconds{2000});
+        for (std::size_t front = 0; front < front_count; ++front)
+            site.store.set_access(front, store_access::refused);
+        said_at = boot_clock::now();
+        site.targets[0]->say_leaving();
+        co_await sleep_for(milliseconds{6000});
+        for (std::size_t front = 0; front < front_count; ++front)
+            site.store.set_access(front, store_access::served);
+        co_await sleep_for(milliseconds{4000});
+        site.stop_load();
+        co_await sleep_for(milliseconds{2200});
+    });
+    const auto away = answers_between(site, said_at + milliseconds{2500}, said_at + milliseconds{5900});
+    const auto after = answers_between(site, said_at + milliseconds{8000}, said_at + milliseconds{9900});
+    MESSAGE(sent_to_leaving(site) << " sent late; away: served " << away.served << " of " << away.sent
+                                  << ", refused late " << away.refused_late << "; after: " << after.served
+                                  << " of " << after.sent);
+    CHECK(sent_to_leaving(site) == 0);
+    CHECK(away.served > 0);
+    CHECK(away.refused_late == 0);
+    CHECK(away.refused_without_time == 0);
+    CHECK(after.share() >= 0.99);
+}
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -1,8 +1,11 @@
 #include "../platform/settings.hpp"
 #include "../platform/store_client.hpp"
+#include "../platform/target_orders.hpp"
 #include "../platform/topic_follower.hpp"
 #include "../platform/wire.hpp"
 
+#include "support/run.hpp"
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -126,6 +129,29 @@
     }
 }
 
+// Guards against a statement that is read in the answers to requests and forgotten in those to orders.
+TEST_CASE("a target that says in its answer to an order that it leaves is heard, and another one is not")
+{
+    asio::io_context io;
+    std::string answering = "t1";
+    http_server target(io.get_executor(), test::any_port, {},
+                       [&](http_request) -> asio::awaitable<http_response> {
+                           auto response = make_response(200, "");
+                           response.set("X-Instance-Id", answering);
+                           response.set("Server-Leaving", "1");
+                           co_return response;
+                       });
+    http_client client(io.get_executor(), {});
+    target_orders orders(client);
+    grant_order order;
+    order.target = {"t1", 0, "127.0.0.1:" + std::to_string(target.local_endpoint().port())};
+    test::run(io, [&]() -> asio::awaitable<void> {
+        CHECK((co_await orders.grant(order, milliseconds{1000})).leaving);
+        answering = "t2";
+        CHECK_FALSE((co_await orders.grant(order, milliseconds{1000})).leaving);
+    });
+}
+
 TEST_CASE("a malformed registration is rejected with the id of its target")
 {
     REQUIRE(failure(decode_target("i1", valid_target)) == nullptr);
--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -1,5 +1,6 @@
 #include "support/ownership_simulation.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace teaseltally;
@@ -41,7 +42,7 @@
     void step(milliseconds elapsed, order_status status)
     {
         now += elapsed;
-        for (auto& action : manager.tick(now, {log, directory, keyed, now, true})) {
+        for (auto& action : manager.tick(now, {log, directory, keyed, now, true, nullptr, &leaving})) {
             if (const auto* append = std::get_if<append_order>(&action)) {
                 for (const auto& record : append->records)
                     log.apply(now, record.key, record.value, log.position());
@@ -60,6 +61,7 @@
     ownership_log log;
     target_directory directory;
     std::vector<std::string> keyed{"ledger"};
+    std::set<std::string, std::less<>> leaving;
     std::vector<grant_order> grants;
     time_point now{std::chrono::hours{1}};
 };
@@ -130,6 +132,29 @@
     CHECK(simulation.held_key_fraction() == 1.0);
 }
 
+// Guards against keys that stay with a target which leaves without saying so in its registration.
+TEST_CASE("the keys of a target that has said it leaves move, and it gets no more")
+{
+    single_coordinator coordinator(3);
+    for (int step = 0; step < 30; ++step)
+        coordinator.step(milliseconds{100}, order_status::done);
+    const auto owns = [&](std::string_view target) {
+        return std::ranges::any_of(coordinator.log.find("ledger")->ranges(),
+                                   [&](const owned_range& range) { return range.owner.id == target; });
+    };
+    REQUIRE(owns("t2"));
+    // Another incarnation with the same id has left before.
+    coordinator.leaving = {"t2@5"};
+    coordinator.step(milliseconds{100}, order_status::done);
+    CHECK(owns("t2"));
+    coordinator.leaving = {"t2@0"};
+    for (int step = 0; step < 20; ++step)
+        coordinator.step(milliseconds{100}, order_status::done);
+    CHECK_FALSE(owns("t2"));
+    CHECK(owns("t1"));
+    CHECK(owns("t3"));
+}
+
 TEST_CASE("the keys of a draining target move within 2 s")
 {
     ownership_simulation simulation(5, {}, 3, 6);
--- a/tests/support/fake_target.cpp
+++ b/tests/support/fake_target.cpp
@@ -117,6 +117,7 @@
     reset_connections();
     held_until_.assign(key_count, {});
     running_ = 0;
+    leaving_ = false;
     queue_.clear();
     asio::co_spawn(io_, restart(), asio::detached);
 }
@@ -268,6 +269,8 @@
         held_until_.at(key) = held_until;
     auto response = make_response(200, "");
     response.set("X-Instance-Id", id_);
+    if (leaving_)
+        response.set("Server-Leaving", "1");
     return response;
 }
 
@@ -308,7 +311,7 @@
     const bool lethal = request.find("X-Lethal") != request.end();
     const auto run = runs_.size();
     runs_.push_back(
-        {id_, id, std::move(from), std::string{request.target()}, lethal, boot_clock::now(), {}, {}, {}});
+        {id_, id, std::move(from), std::string{request.target()}, lethal, boot_clock::now(), {}, {}, {}, {}});
     if (retry_after_ || queue_.size() >= behaviour_.queue_length) {
         if (retry_after_) {
             response.set(http::field::retry_after, *retry_after_);
@@ -330,6 +333,10 @@
     else
         --running_;
     name_limit(runs_[run].limit_sent);
+    if (leaving_) {
+        response.set("Server-Leaving", "1");
+        runs_[run].leaving_said = boot_clock::now();
+    }
     response.set("X-Instance-Load", std::to_string(running_) + "," + std::to_string(queue_.size()) + "," +
                                         std::to_string(behaviour_.slots));
     response.set("X-Server-Signature", "signed");
--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -30,6 +30,8 @@
     std::optional<time_point> limit_sent;
     /// Time when the target refused the request and asked for rest; nothing if it has not.
     std::optional<time_point> rest_asked;
+    /// Time when the target answered that it is leaving; nothing if it has not.
+    std::optional<time_point> leaving_said;
 };
 
 /// How a target fails after it has executed a request.
@@ -100,6 +102,8 @@
     /// Makes the target refuse all requests from now on and ask for rest.
     /// @param retry_after value of the `Retry-After` header; nothing ends it.
     void ask_for_rest(std::optional<std::string> retry_after) { retry_after_ = std::move(retry_after); }
+    /// Makes all responses say from now on that the target is leaving; its registration does not.
+    void say_leaving() { leaving_ = true; }
     /// Sets how the target fails from now on, with every second request that it executes.
     void set_failure(target_failure failure) { failure_ = failure; }
     /// Ends the process: resets all connections, stops listening and restarts later.
@@ -155,6 +159,7 @@
     std::uint64_t next_ticket_ = 0;
     std::vector<std::pair<time_point, std::optional<double>>> limits_;
     std::optional<std::string> retry_after_;
+    bool leaving_ = false;
 };
 
 } // namespace teaseltally::test
--- a/tests/target_statements_tests.cpp
+++ b/tests/target_statements_tests.cpp
@@ -116,6 +116,29 @@
     CHECK(statements.may_send(at(1080)));
 }
 
+// Guards against requests to a target that has said it leaves, whatever it answers later.
+TEST_CASE("a target that leaves gets no more requests and does not come back")
+{
+    const header_names headers;
+    auto response = response_with(200, "1");
+    response.set(headers.leaving, "1");
+    CHECK(read_statement(response, headers).leaving);
+    for (const auto* other : {"0", "true", "11"}) {
+        response.set(headers.leaving, other);
+        CHECK_FALSE(read_statement(response, headers).leaving);
+    }
+    REQUIRE(read_statement(response, headers).rejected.size() == 1);
+    target_statements statements;
+    target_statement leaving;
+    leaving.leaving = true;
+    statements.apply(leaving, at(0), at(10));
+    CHECK_FALSE(statements.may_send(at(10)));
+    statements.apply({}, at(20), at(30));
+    CHECK_FALSE(statements.mark_leaving(at(40)));
+    CHECK_FALSE(statements.may_send(at(100'000)));
+    CHECK(statements.leaving_since() == at(10));
+}
+
 TEST_CASE("a target that asks again after its rest rests again")
 {
     target_statements statements;
--- a/tests/traffic_report_tests.cpp
+++ b/tests/traffic_report_tests.cpp
@@ -76,3 +76,26 @@
     // Instances that have not reported within 15 s no longer count.
     CHECK(aggregator.instance_count(start + milliseconds{15'500}) == 2);
 }
+
+// Guards against instances that are not told that a target is leaving.
+TEST_CASE("leaving targets are carried by reports and their answers, and malformed ones are rejected")
+{
+    auto report = sample_report();
+    report.traffic.leaving = {"t@1", "u@0"};
+    const auto read = decode_report(encode(report));
+    REQUIRE(read);
+    CHECK(read->traffic.leaving == report.traffic.leaving);
+    traffic_report sum;
+    sum.leaving = {"v@0"};
+    sum.merge(read->traffic);
+    CHECK(sum.leaving.size() == 3);
+    const auto answer = decode_report_answer(encode(report_answer{7, {"t@1"}}));
+    REQUIRE(answer);
+    CHECK(answer->instance_count == 7U);
+    CHECK(answer->leaving.contains("t@1"));
+    // Earlier versions answer without leaving targets.
+    CHECK(decode_report_answer("{}"));
+    for (const auto* text : {"", "[]", R"({"instances":-1})", R"({"instances":"3"})", R"({"leaving":"t"})",
+                             R"({"leaving":[1]})"})
+        CHECK_FALSE(decode_report_answer(text));
+}
