Check in the store client's tests that a request arrived before it is read

Cause: two tests read requests.front() although no request may have arrived. Reproduced with a limit of 8 file descriptors, at which the client can't connect: both failed checks and SIGSEGV before; now the missing request is reported by the test. The checks that follow are unchanged.

--- a/tests/store_client_tests.cpp
+++ b/tests/store_client_tests.cpp
@@ -82,6 +82,7 @@
         });
         const auto* read_error = std::get_if<store_error>(&outcome);
         CHECK((read_error == nullptr ? std::nullopt : std::optional{*read_error}) == expected.read_error);
+        REQUIRE(store.requests.size() == 1);
         CHECK(store.requests.front() == "/api/log-read?topic=keyed.t&part=0&from=7");
     }
 }
@@ -112,6 +113,7 @@
             outcome = co_await store.client.append(std::move(topic), 7, std::move(records));
         });
         CHECK(outcome.status == expected.status);
+        REQUIRE(store.requests.size() == 1);
         CHECK(store.requests.front() == "/api/log-append?topic=keyed.t&part=0&as-of=7");
     }
 }
