Give a content of several callers a second trial, and the least suspected callers first

What callers saw: a request that others use well was refused for ten minutes, since one caller's requests with the same content crash targets. Cause: the content had one trial, and whoever returned first got it; if that was the lethal caller, nobody could clear the content.

Change: a second trial if several callers sent the content; for 10 s after the last crash a trial goes to callers whose requests completed, or else to those whose attempts were lost on the fewest targets. The unit test of the second trial does not compile before.

--- a/include/teaseltally/admission/crash_quarantine.hpp
+++ b/include/teaseltally/admission/crash_quarantine.hpp
@@ -87,6 +87,10 @@
     /// has been appended to a log that contained no record unknown to this instance.
     /// @returns the record, or nothing if there is no trial at this time.
     [[nodiscard]] std::optional<crash_record> next_trial(std::uint64_t fingerprint, time_point now) const;
+    /// Returns whether a trial of a content is kept for other callers than that of a request: for a time
+    /// after the last crash, it is for callers whose requests with it are known to have completed, or else
+    /// for those whose attempts were lost on the fewest targets.
+    [[nodiscard]] bool is_trial_reserved(const crash_fingerprints& request, time_point now) const;
     /// Records that a target incarnation has responded to a request.
     /// @param sent_at time when the request was sent; attempts lost and ends reported before are withdrawn.
     void on_target_alive(const std::string& incarnation, time_point sent_at);
@@ -133,9 +137,10 @@
     void add_completed(std::uint64_t fingerprint);
     /// Returns whether requests with other content ran on all targets whose ends count for this fingerprint.
     [[nodiscard]] bool has_other_suspect(std::uint64_t fingerprint) const;
-    /// Returns whether attempts of several callers were lost with a content, so that it may be lethal from
-    /// one of them only.
-    [[nodiscard]] bool has_several_callers(std::uint64_t fingerprint) const;
+    /// Returns the fingerprints of the callers whose attempts were lost with a content; none for other
+    /// fingerprints. If there are several, the content may be lethal from one of them only.
+    [[nodiscard]] std::set<std::uint64_t> suspected_callers(std::uint64_t fingerprint) const;
+    void withdraw_trial(std::uint64_t trial);
     /// Sets the fingerprints of a report; none removes it.
     void set_report(const std::string& key, std::set<std::uint64_t> fingerprints, time_point now);
 
--- a/src/admission/crash_quarantine.cpp
+++ b/src/admission/crash_quarantine.cpp
@@ -22,6 +22,9 @@
 /// Minimum time between the claims of two trials, so that the end of a target can be attributed to one of
 /// them.
 constexpr milliseconds trial_interval{2000};
+/// Time after the last crash for which a trial of a content is kept for the least suspected callers. It
+/// exceeds the time in which the keys of a crashed owner are served again.
+constexpr milliseconds trial_reservation{10'000};
 /// Prefix of the keys of trials, followed by the fingerprint.
 constexpr std::string_view trial_prefix = "trial|";
 /// Value of the records of trials.
@@ -36,6 +39,9 @@
 /// it. The fingerprints of callers are odd.
 constexpr std::uint64_t never_completed = 2;
 
+/// Added to the fingerprint of a content in the key of its second trial.
+constexpr std::uint64_t second_trial = 2;
+
 bool is_content(std::uint64_t fingerprint)
 {
     return (fingerprint & ~content_mask) == 0;
@@ -213,37 +219,58 @@
     });
 }
 
-bool crash_quarantine::has_several_callers(std::uint64_t fingerprint) const
+std::set<std::uint64_t> crash_quarantine::suspected_callers(std::uint64_t fingerprint) const
 {
+    std::set<std::uint64_t> callers;
     const auto keys = keys_by_fingerprint_.find(fingerprint);
     if (keys == keys_by_fingerprint_.end() || !is_content(fingerprint))
-        return false;
-    std::set<std::uint64_t> callers;
+        return callers;
     for (const auto& key : keys->second)
         for (const auto other : reports_.at(key).fingerprints)
             if (is_caller(other) && (other & content_mask) == fingerprint)
                 callers.insert(other);
-    return callers.size() > 1;
+    return callers;
 }
 
 std::optional<crash_record> crash_quarantine::next_trial(std::uint64_t fingerprint, time_point now) const
 {
-    if (trials_.contains(fingerprint) || crashes(fingerprint) < settings_.crashes ||
-        !(completed_.contains(fingerprint) || has_other_suspect(fingerprint) ||
-          has_several_callers(fingerprint)))
+    const bool several_callers = suspected_callers(fingerprint).size() > 1;
+    const bool is_second = several_callers && trials_.contains(fingerprint);
+    const auto trial = is_second ? fingerprint + second_trial : fingerprint;
+    if (trials_.contains(trial) || crashes(fingerprint) < settings_.crashes ||
+        !(completed_.contains(fingerprint) || has_other_suspect(fingerprint) || several_callers))
         return std::nullopt;
     const bool recent =
-        std::ranges::any_of(trials_, [&](const auto& trial) { return now - trial.second < trial_interval; });
+        std::ranges::any_of(trials_, [&](const auto& other) { return now - other.second < trial_interval; });
     if (recent)
         return std::nullopt;
-    return crash_record{trial_key(fingerprint), trial_value};
+    return crash_record{trial_key(trial), trial_value};
+}
+
+bool crash_quarantine::is_trial_reserved(const crash_fingerprints& request, time_point now) const
+{
+    const auto times = crash_times(request.content);
+    if (times.empty() || now - times.back() >= trial_reservation || completed_.contains(request.caller))
+        return false;
+    if (completed_.contains(request.content))
+        return true;
+    const auto own = crashes(request.caller);
+    return std::ranges::any_of(suspected_callers(request.content),
+                               [&](std::uint64_t other) { return crashes(other) < own; });
+}
+
+void crash_quarantine::withdraw_trial(std::uint64_t trial)
+{
+    if (trials_.erase(trial) > 0)
+        changed_keys_.insert(trial_key(trial));
 }
 
 void crash_quarantine::on_request_completed(std::uint64_t fingerprint)
 {
     add_completed(fingerprint);
-    if (trials_.erase(fingerprint) > 0)
-        changed_keys_.insert(trial_key(fingerprint));
+    withdraw_trial(fingerprint);
+    if (is_content(fingerprint))
+        withdraw_trial(fingerprint + second_trial);
     const auto found = keys_by_fingerprint_.find(fingerprint);
     if (found == keys_by_fingerprint_.end())
         return;
--- a/src/net/request_crashes.cpp
+++ b/src/net/request_crashes.cpp
@@ -115,6 +115,9 @@
     if (!claim_trial_ || is_isolated() || !fingerprint ||
         !quarantine_->next_trial(*fingerprint, boot_clock::now()))
         co_return false;
+    if (*fingerprint == request->fingerprints.content &&
+        quarantine_->is_trial_reserved(request->fingerprints, boot_clock::now()))
+        co_return false;
     // The owner of a key stays registered for seconds after its end, and would not run the trial.
     const auto target = choose_target(*request, state);
     if (!target || quarantine_->is_reported(target->incarnation()))
--- a/tests/crash_quarantine_tests.cpp
+++ b/tests/crash_quarantine_tests.cpp
@@ -190,6 +190,49 @@
     }
 }
 
+// Guards against the only trial of a content going to the caller whose requests crash targets.
+TEST_CASE("the trial of a content is kept for a time for callers whose requests with it completed")
+{
+    auto quarantine = make_quarantine();
+    const auto good = crash_fingerprints_of("10.0.0.1", {"content"});
+    const auto bad = crash_fingerprints_of("10.0.0.2", {"content"});
+    CHECK_FALSE(quarantine.is_trial_reserved(bad, at(0)));
+    quarantine.on_request_completed(good.content);
+    quarantine.on_request_completed(good.caller);
+    for (const auto* target : {"a", "b", "c"})
+        crash(quarantine, target, {good.content, good.caller, bad.caller}, at(100));
+    REQUIRE(quarantine.next_trial(good.content, at(200)));
+    CHECK(quarantine.is_trial_reserved(bad, at(200)));
+    CHECK_FALSE(quarantine.is_trial_reserved(good, at(200)));
+    CHECK(quarantine.is_trial_reserved(bad, at(10'000)));
+    CHECK_FALSE(quarantine.is_trial_reserved(bad, at(10'200)));
+}
+
+// Guards against a content that is refused to all because the request that crashes targets got its trial.
+TEST_CASE("a content of several callers has a second trial, for those who crashed fewer targets")
+{
+    auto quarantine = make_quarantine();
+    const auto good = crash_fingerprints_of("10.0.0.1", {"content"});
+    const auto bad = crash_fingerprints_of("10.0.0.2", {"content"});
+    for (const auto* target : {"a", "b"})
+        crash(quarantine, target, {good.content, good.caller, bad.caller}, at(0));
+    const auto first = quarantine.next_trial(good.content, at(100));
+    REQUIRE(first);
+    CHECK_FALSE(quarantine.is_trial_reserved(bad, at(100)));
+    CHECK(quarantine.apply(*first, at(100)));
+    crash(quarantine, "c", {bad.content, bad.caller}, at(200));
+    CHECK_FALSE(quarantine.next_trial(good.content, at(300)));
+    const auto second = quarantine.next_trial(good.content, at(5000));
+    REQUIRE(second);
+    CHECK(quarantine.is_trial_reserved(bad, at(5000)));
+    CHECK_FALSE(quarantine.is_trial_reserved(good, at(5000)));
+    CHECK(quarantine.apply(*second, at(5000)));
+    CHECK_FALSE(quarantine.next_trial(good.content, at(20'000)));
+    quarantine.on_request_completed(good.content);
+    CHECK(quarantine.crashes(good.content) == 0);
+    CHECK(quarantine.extract_changes().size() >= 2);
+}
+
 TEST_CASE("a quarantined request has one trial, and none beside another trial on any instance")
 {
     auto first = make_quarantine("x");
