Keep only the second trial of a content from callers whose attempts crashed a target since the first

The first trial is open to all again; the second is kept from callers who lost an attempt on a crashed target since the first.

--- a/include/teaseltally/admission/crash_quarantine.hpp
+++ b/include/teaseltally/admission/crash_quarantine.hpp
@@ -89,7 +89,7 @@
     [[nodiscard]] std::optional<crash_record> next_trial(std::uint64_t fingerprint, time_point now) const;
     /// Returns whether a trial of a content is kept for other callers than that of a request: for a time
     /// after the last crash, it is for callers whose requests with it are known to have completed, or else
-    /// for those whose attempts were lost on the fewest targets.
+    /// for those who have lost no attempt on a crashed target since the first trial.
     [[nodiscard]] bool is_trial_reserved(const crash_fingerprints& request, time_point now) const;
     /// Records that a target incarnation has responded to a request.
     /// @param sent_at time when the request was sent; attempts lost and ends reported before are withdrawn.
--- a/src/admission/crash_quarantine.cpp
+++ b/src/admission/crash_quarantine.cpp
@@ -254,9 +254,12 @@
         return false;
     if (completed_.contains(request.content))
         return true;
-    const auto own = crashes(request.caller);
-    return std::ranges::any_of(suspected_callers(request.content),
-                               [&](std::uint64_t other) { return crashes(other) < own; });
+    const auto first_trial = trials_.find(request.content);
+    const auto keys = keys_by_fingerprint_.find(request.caller);
+    return first_trial != trials_.end() && keys != keys_by_fingerprint_.end() &&
+           std::ranges::any_of(keys->second, [&](const auto& key) {
+               return reports_.at(key).reported_at >= first_trial->second;
+           });
 }
 
 void crash_quarantine::withdraw_trial(std::uint64_t trial)
--- a/tests/crash_quarantine_tests.cpp
+++ b/tests/crash_quarantine_tests.cpp
@@ -209,7 +209,7 @@
 }
 
 // Guards against a content that is refused to all because the request that crashes targets got its trial.
-TEST_CASE("a content of several callers has a second trial, for those who crashed fewer targets")
+TEST_CASE("a content of several callers has a second trial, for those who crashed none since the first")
 {
     auto quarantine = make_quarantine();
     const auto good = crash_fingerprints_of("10.0.0.1", {"content"});
