Request permits for all limited targets of a service in one exchange

What callers saw: a refusal, when all targets limit their requests, after one exchange with the coordinator for each target. Cause: permits were requested for the chosen target only, then for the next one. Change: the request names all limited targets that could take it, and the coordinator answers up to the first one with permits, so that no others are used up. Messages about one target are as before.

--- a/include/teaseltally/admission/target_rate_limits.hpp
+++ b/include/teaseltally/admission/target_rate_limits.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -78,6 +79,10 @@
     /// Grants the permits that the limit of the target allows now, at most as many as requested. If the
     /// target does not limit its requests, it grants all.
     [[nodiscard]] permit_grant grant(const permit_request& request, time_point now);
+    /// Grants permits for the first of several targets that allows any.
+    /// @returns the answers for the targets up to that one, or for all if none allows any.
+    [[nodiscard]] std::vector<permit_grant> grant_first(std::span<const permit_request> requests,
+                                                        time_point now);
     /// Forgets all buckets and starts with empty ones, as another instance may have issued permits meanwhile.
     void restart() { buckets_.clear(); }
     /// Returns the limits known to the issuer.
@@ -157,15 +162,17 @@
     unsigned instance_count_ = 40;
 };
 
-/// Encodes requests for another instance as a JSON array.
-[[nodiscard]] std::string encode(const permit_request& request, time_point now);
+/// Encodes requests for another instance: one as a JSON array, several as an array of such arrays.
+[[nodiscard]] std::string encode(std::span<const permit_request> requests, time_point now);
 /// Decodes the result of `encode`.
-/// @returns the request, or nothing if the text is malformed.
-[[nodiscard]] std::optional<permit_request> decode_permit_request(std::string_view text, time_point now);
-/// Encodes the answer to a request as a JSON array.
-[[nodiscard]] std::string encode(const permit_grant& grant, time_point now);
+/// @returns the requests, at least one; nothing if the text is malformed.
+[[nodiscard]] std::optional<std::vector<permit_request>> decode_permit_requests(std::string_view text,
+                                                                                time_point now);
+/// Encodes the answers to requests like the requests.
+[[nodiscard]] std::string encode(std::span<const permit_grant> grants, time_point now);
 /// Decodes the result of `encode`.
-/// @returns the answer, or nothing if the text is malformed.
-[[nodiscard]] std::optional<permit_grant> decode_permit_grant(std::string_view text, time_point now);
+/// @returns the answers, at least one; nothing if the text is malformed.
+[[nodiscard]] std::optional<std::vector<permit_grant>> decode_permit_grants(std::string_view text,
+                                                                            time_point now);
 
 } // namespace teaseltally
--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -118,8 +118,8 @@
     unsigned sends = 0;
     /// Number of attempts that ended without a response although the target may have executed the request.
     unsigned unknown_outcomes = 0;
-    /// Incarnation of the limited target for which a permit is needed.
-    std::string limited_target;
+    /// Incarnations of the limited targets of which one must grant a permit, the preferred one first.
+    std::vector<std::string> limited_targets;
     /// Whether another instance passed on the request; it is not passed on again.
     bool is_relayed = false;
     /// Number of attempts that were made before this instance received the request.
@@ -182,9 +182,9 @@
         quarantine_ = &quarantine;
         claim_trial_ = std::move(claim);
     }
-    /// Requests permits for a limited target; afterwards the holder has them or knows until when it is held
-    /// back.
-    using permit_source = std::function<asio::awaitable<void>(std::string incarnation)>;
+    /// Requests permits for the first of several limited targets that has any. Afterwards the holder has
+    /// them, or knows for each until when it is held back.
+    using permit_source = std::function<asio::awaitable<void>(std::vector<std::string> incarnations)>;
     /// Tells other instances that the known limit of a target has changed.
     using limit_report = std::function<void(const std::string& incarnation)>;
     /// Sets the permits for targets that limit their requests. Without them, no limit is kept to.
@@ -299,7 +299,7 @@
                                             time_point hedge_at) const;
     enum class attempt_start { started, blocked, permit_needed };
     /// Starts an attempt at the target that `choose_target` returns.
-    /// @returns whether it started, or whether it may after permits for `request.limited_target` were
+    /// @returns whether it started, or whether it may after permits for `request.limited_targets` were
     /// requested.
     [[nodiscard]] attempt_start try_start_attempt(const std::shared_ptr<routed_request>& request,
                                                   service_state& state);
@@ -307,6 +307,10 @@
     /// attempt is running, no permits are requested, as its response must not wait for them.
     [[nodiscard]] bool may_get_permit(const routed_request& request, const target_node& target,
                                       time_point now) const;
+    /// Returns the limited targets that a request may be sent to after permits were requested.
+    /// @param preferred the target that was chosen; the first one in the result.
+    [[nodiscard]] std::vector<std::string>
+    limited_targets(const routed_request& request, const service_state& state, const target_node& preferred);
     /// Returns whether the limit of a target allows no request now and requesting permits is of no use.
     [[nodiscard]] bool is_held_back(const target_node& target, time_point now) const;
     /// Until when statements of targets keep a request from being sent.
--- a/src/admission/target_rate_limits.cpp
+++ b/src/admission/target_rate_limits.cpp
@@ -90,18 +90,46 @@
     return row;
 }
 
-std::optional<permit_row> decode_row(std::string_view text, time_point now)
+std::optional<permit_row> decode_row(const Json::Value& row, time_point now)
 {
-    const auto parsed = parse_json(text, "permits");
-    const auto* row = std::get_if<Json::Value>(&parsed);
-    if (row == nullptr || !row->isArray() || row->size() != 4 || !(*row)[0].isString() ||
-        !(*row)[2].isUInt() || !(*row)[3].isInt64())
+    if (!row.isArray() || row.size() != 4 || !row[0].isString() || !row[2].isUInt() || !row[3].isInt64())
         return std::nullopt;
-    const auto known = decode_limit((*row)[1], now);
+    const auto known = decode_limit(row[1], now);
     if (!known)
         return std::nullopt;
-    return permit_row{(*row)[0].asString(), *known, (*row)[2].asUInt(),
-                      microseconds{std::max<std::int64_t>((*row)[3].asInt64(), 0)}};
+    return permit_row{row[0].asString(), *known, row[2].asUInt(),
+                      microseconds{std::max<std::int64_t>(row[3].asInt64(), 0)}};
+}
+
+std::string encode_rows(const std::vector<permit_row>& rows, time_point now)
+{
+    if (rows.size() == 1)
+        return json_text(encode_row(rows.front(), now));
+    Json::Value encoded(Json::arrayValue);
+    for (const auto& row : rows)
+        encoded.append(encode_row(row, now));
+    return json_text(encoded);
+}
+
+std::optional<std::vector<permit_row>> decode_rows(std::string_view text, time_point now)
+{
+    const auto parsed = parse_json(text, "permits");
+    const auto* message = std::get_if<Json::Value>(&parsed);
+    if (message == nullptr || !message->isArray() || message->empty())
+        return std::nullopt;
+    Json::Value rows(Json::arrayValue);
+    if ((*message)[0].isArray())
+        rows = *message;
+    else
+        rows.append(*message);
+    std::vector<permit_row> decoded;
+    for (const auto& row : rows) {
+        auto fields = decode_row(row, now);
+        if (!fields)
+            return std::nullopt;
+        decoded.push_back(std::move(*fields));
+    }
+    return decoded;
 }
 
 } // namespace
@@ -169,6 +197,17 @@
     return answer;
 }
 
+std::vector<permit_grant> permit_issuer::grant_first(std::span<const permit_request> requests, time_point now)
+{
+    std::vector<permit_grant> answers;
+    for (const auto& request : requests) {
+        answers.push_back(grant(request, now));
+        if (answers.back().granted > 0)
+            break;
+    }
+    return answers;
+}
+
 void permit_issuer::remove_expired(time_point now)
 {
     limits_.remove_expired(now);
@@ -288,30 +327,42 @@
     });
 }
 
-std::string encode(const permit_request& request, time_point now)
+std::string encode(std::span<const permit_request> requests, time_point now)
 {
-    return json_text(encode_row({request.incarnation, request.known, request.count, microseconds{0}}, now));
+    std::vector<permit_row> rows;
+    for (const auto& request : requests)
+        rows.push_back({request.incarnation, request.known, request.count, microseconds{0}});
+    return encode_rows(rows, now);
 }
 
-std::optional<permit_request> decode_permit_request(std::string_view text, time_point now)
+std::optional<std::vector<permit_request>> decode_permit_requests(std::string_view text, time_point now)
 {
-    auto row = decode_row(text, now);
-    if (!row)
+    auto rows = decode_rows(text, now);
+    if (!rows)
         return std::nullopt;
-    return permit_request{std::move(row->incarnation), row->known, row->count};
+    std::vector<permit_request> requests;
+    for (auto& row : *rows)
+        requests.push_back({std::move(row.incarnation), row.known, row.count});
+    return requests;
 }
 
-std::string encode(const permit_grant& grant, time_point now)
+std::string encode(std::span<const permit_grant> grants, time_point now)
 {
-    return json_text(encode_row({grant.incarnation, grant.known, grant.granted, grant.wait}, now));
+    std::vector<permit_row> rows;
+    for (const auto& grant : grants)
+        rows.push_back({grant.incarnation, grant.known, grant.granted, grant.wait});
+    return encode_rows(rows, now);
 }
 
-std::optional<permit_grant> decode_permit_grant(std::string_view text, time_point now)
+std::optional<std::vector<permit_grant>> decode_permit_grants(std::string_view text, time_point now)
 {
-    auto row = decode_row(text, now);
-    if (!row)
+    auto rows = decode_rows(text, now);
+    if (!rows)
         return std::nullopt;
-    return permit_grant{std::move(row->incarnation), row->known, row->count, row->wait};
+    std::vector<permit_grant> grants;
+    for (auto& row : *rows)
+        grants.push_back({std::move(row.incarnation), row.known, row.count, row.wait});
+    return grants;
 }
 
 } // namespace teaseltally
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -347,7 +347,7 @@
         return attempt_start::blocked;
     const auto now = boot_clock::now();
     if (permits_ != nullptr && !permits_->has_permit(target->incarnation(), now)) {
-        request->limited_target = target->incarnation();
+        request->limited_targets = limited_targets(*request, state, *target);
         return attempt_start::permit_needed;
     }
     auto connection = target->acquire(now, connection_limit(request->service), request->id);
@@ -413,7 +413,7 @@
             if (start == attempt_start::started)
                 hedge_at = next_hedge_time(*request, state);
             if (start == attempt_start::permit_needed)
-                co_await request_permits_(request->limited_target);
+                co_await request_permits_(request->limited_targets);
             if (start != attempt_start::blocked)
                 continue;
             if (!running) {
--- a/src/net/request_statements.cpp
+++ b/src/net/request_statements.cpp
@@ -10,6 +10,8 @@
 constexpr milliseconds min_retry_after{50};
 /// Time after which a caller may return if nothing is known of the move of its key.
 constexpr milliseconds key_move_retry_time{500};
+/// Maximum number of targets for which permits are requested together.
+constexpr std::size_t max_permit_targets = 32;
 /// The returns of callers after a rest are spread over its length divided by this, so that at most three
 /// times the usual number of requests arrives.
 constexpr int return_spread_divisor = 2;
@@ -89,6 +91,23 @@
     return !running && !is_held_back(target, now);
 }
 
+std::vector<std::string> request_router::limited_targets(const routed_request& request,
+                                                         const service_state& state,
+                                                         const target_node& preferred)
+{
+    const auto now = boot_clock::now();
+    std::vector<std::string> incarnations;
+    if (!request.key)
+        for (const auto& target : state.targets)
+            if (target.get() != &preferred && !target->is_leaving() && has_capacity(*target, false) &&
+                !permits_->has_permit(target->incarnation(), now) && !is_held_back(*target, now))
+                incarnations.push_back(target->incarnation());
+    std::ranges::shuffle(incarnations, random_);
+    incarnations.resize(std::min(incarnations.size(), max_permit_targets - 1));
+    incarnations.insert(incarnations.begin(), preferred.incarnation());
+    return incarnations;
+}
+
 bool request_router::is_held_back(const target_node& target, time_point now) const
 {
     return permits_ != nullptr && !permits_->has_permit(target.incarnation(), now) &&
--- a/tests/target_exchange_tests.cpp
+++ b/tests/target_exchange_tests.cpp
@@ -628,9 +628,14 @@
     {
         router.set_permits(
             permits,
-            [this](std::string) -> asio::awaitable<void> {
+            [this](std::vector<std::string> incarnations) -> asio::awaitable<void> {
                 ++requested;
-                permits.on_issuer_unreachable(boot_clock::now());
+                const auto now = boot_clock::now();
+                if (!issuer_answers)
+                    permits.on_issuer_unreachable(now);
+                else
+                    for (const auto& incarnation : incarnations)
+                        permits.on_grant({incarnation, {1, now}, 0, milliseconds{500}}, now);
                 co_return;
             },
             [this](const std::string&) { ++reported; });
@@ -645,6 +650,8 @@
         permits.on_response(incarnation_of(target), {true, 1}, now, now);
     }
     permit_holder permits;
+    /// Whether the issuer answers that there are no permits.
+    bool issuer_answers = false;
     unsigned requested = 0;
     unsigned reported = 0;
 };
@@ -663,6 +670,17 @@
     CHECK(fixture.requests() == 0);
 }
 
+// Guards against refusals that come late: one exchange with the issuer for each limited target.
+TEST_CASE("permits for all limited targets are requested together")
+{
+    permits_fixture fixture;
+    fixture.issuer_answers = true;
+    for (int count = 0; count < 6; ++count)
+        fixture.limit(fixture.add_target());
+    CHECK(fixture.send_request("q").result_int() == 503);
+    CHECK(fixture.requested == 1);
+}
+
 // Guards against a limit that is attributed to a target that has left its address to another.
 TEST_CASE("a limit in a response of another target than the expected one does not count")
 {
--- a/tests/target_rate_limits_tests.cpp
+++ b/tests/target_rate_limits_tests.cpp
@@ -175,25 +175,56 @@
     CHECK(use(holder, &issuer, until));
 }
 
+// Guards against one exchange with the issuer for each target before a request can be refused.
+TEST_CASE("permits are granted for the first of several targets that allows any, and no others are used up")
+{
+    permit_issuer issuer;
+    const auto ask = [&](time_point now) {
+        std::vector<permit_request> requests;
+        for (const auto* incarnation : {"a@0", "b@0", "c@0"})
+            requests.push_back({incarnation, {4, start}, 1});
+        return issuer.grant_first(requests, now);
+    };
+    auto answers = ask(at(0));
+    REQUIRE(answers.size() == 3);
+    for (const auto& answer : answers)
+        CHECK(answer.wait > microseconds{0});
+    for (const auto* expected : {"a@0", "b@0", "c@0"}) {
+        answers = ask(at(300));
+        CHECK(answers.back().incarnation == expected);
+        CHECK(answers.back().granted == 1);
+    }
+    answers = ask(at(300));
+    CHECK(answers.size() == 3);
+    CHECK(answers.back().granted == 0);
+}
+
 TEST_CASE("messages about permits are decoded, and malformed ones are rejected")
 {
-    const permit_request request{target, {4.5, at(-20)}, 3};
-    const auto decoded = decode_permit_request(encode(request, start), start);
-    REQUIRE(decoded);
-    CHECK(decoded->incarnation == target);
-    CHECK(decoded->known.per_s == 4.5);
-    // A statement does not become newer on its way.
-    CHECK(decoded->known.stated_at <= at(-20));
-    CHECK(decoded->count == 3);
-    const permit_grant grant{target, {std::nullopt, start}, 0, milliseconds{250}};
-    const auto answer = decode_permit_grant(encode(grant, start), start);
-    REQUIRE(answer);
-    CHECK(answer->known.per_s == std::nullopt);
-    CHECK(answer->wait == milliseconds{250});
+    std::vector<permit_request> requests{{target, {4.5, at(-20)}, 3}};
+    std::vector<permit_grant> grants{{target, {std::nullopt, start}, 0, milliseconds{250}}};
+    for (const std::size_t count : {1, 3}) {
+        requests.resize(count, requests.front());
+        grants.resize(count, grants.front());
+        const auto decoded = decode_permit_requests(encode(requests, start), start);
+        REQUIRE(decoded);
+        REQUIRE(decoded->size() == count);
+        CHECK(decoded->back().incarnation == target);
+        CHECK(decoded->back().known.per_s == 4.5);
+        // A statement does not become newer on its way.
+        CHECK(decoded->back().known.stated_at <= at(-20));
+        CHECK(decoded->back().count == 3);
+        const auto answers = decode_permit_grants(encode(grants, start), start);
+        REQUIRE(answers);
+        REQUIRE(answers->size() == count);
+        CHECK(answers->back().known.per_s == std::nullopt);
+        CHECK(answers->back().wait == milliseconds{250});
+    }
     for (const auto* text : {"", "{}", "[]", R"(["t",[4,0],1])", R"([7,[4,0],1,0])", R"(["t",[-4,0],1,0])",
                              R"(["t",["4",0],1,0])", R"(["t",[4],1,0])", R"(["t",[4,0],-1,0])",
-                             R"(["t",[4,0],1,"0"])", R"(["t",[1e9,0],1,0])"}) {
-        CHECK_MESSAGE(!decode_permit_request(text, start), text);
-        CHECK_MESSAGE(!decode_permit_grant(text, start), text);
+                             R"(["t",[4,0],1,"0"])", R"(["t",[1e9,0],1,0])", R"([[]])",
+                             R"([["t",[4,0],1,0],7])", R"([["t",[4,0],1,0],["t",[4,0],1]])"}) {
+        CHECK_MESSAGE(!decode_permit_requests(text, start), text);
+        CHECK_MESSAGE(!decode_permit_grants(text, start), text);
     }
 }
