Let the store of the tests come back from an older copy

The stand-in of the store could lose nothing that it had acknowledged, so no test could show what the users saw. It knows eras now: it goes away and comes back from a copy of a given age in the next era, answers 410 to positions above the new end, names Store-Era, writes again what targets and operator had written, can hold an append back and carry it out in the new era, and counts each instance's calls. Targets keep their highest fences, answer 409 and 421 as the platform's do, finish the work on keys before they have released them, and record all orders; ownership_history finds keys at two targets and fences that are not above all others'. With TEASELTALLY_KEEP_LOGS the logs of a failed case stay.

--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -4,7 +4,11 @@
 
 #include <teaseltally/json.hpp>
 
+#include <boost/asio/detached.hpp>
 #include <boost/beast/core/detail/base64.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 
@@ -12,6 +16,7 @@
 namespace {
 
 constexpr std::size_t length_bytes = 4;
+constexpr unsigned ok_status = 200;
 /// Time between two checks of a waiting read for new records.
 constexpr milliseconds read_check_interval{5};
 
@@ -61,23 +66,129 @@
 } // namespace
 
 fake_store::fake_store(asio::io_context& io, std::size_t client_count)
-    : access_(client_count, store_access::served)
+    : io_(io), access_(client_count, store_access::served), calls_(client_count)
 {
     for (std::size_t client = 0; client < client_count; ++client)
-        servers_.push_back(std::make_unique<http_server>(
-            io.get_executor(), any_port, http_server_limits{},
-            [this, client](http_request request) { return answer(client, std::move(request)); }));
+        endpoints_.emplace_back(io);
+    for (std::size_t client = 0; client < client_count; ++client)
+        asio::co_spawn(io, accept(client), asio::detached);
 }
 
 tcp_endpoint fake_store::endpoint(std::size_t client) const
 {
-    return servers_.at(client)->local_endpoint();
+    return endpoints_.at(client).acceptor.local_endpoint();
 }
 
 void fake_store::put(const std::string& topic, const std::string& key,
                      const std::optional<std::string>& value)
 {
-    topics_[topic].push_back({key, value.value_or("")});
+    std::erase_if(unwritten_, [&](const auto& old) { return old.topic == topic && old.key == key; });
+    if (away_since_)
+        unwritten_.push_back({topic, key, value.value_or("")});
+    else
+        topics_[topic].push_back({key, value.value_or(""), boot_clock::now(), true});
+}
+
+void fake_store::reset_connections()
+{
+    boost::system::error_code ignored;
+    for (auto& endpoint : endpoints_)
+        for (const auto& connection : std::exchange(endpoint.connections, {})) {
+            connection->set_option(asio::socket_base::linger(true, 0), ignored);
+            connection->close(ignored);
+        }
+}
+
+void fake_store::go_away(store_access access)
+{
+    away_since_ = boot_clock::now();
+    away_access_ = access;
+    reset_connections();
+}
+
+void fake_store::return_from_copy(milliseconds age, milliseconds delay)
+{
+    const auto copied_at = away_since_.value_or(boot_clock::now()) - age;
+    for (auto& topic : topics_) {
+        auto& records = topic.second;
+        const auto lost = std::ranges::find_if(
+            records, [&](const record& written) { return written.appended >= copied_at; });
+        for (auto it = lost; it != records.end(); ++it) {
+            const auto is_later = [&](const auto& other) { return other.key == it->key; };
+            const auto is_unwritten = [&](const external_write& other) {
+                return other.topic == topic.first && other.key == it->key;
+            };
+            if (it->is_external && std::none_of(it + 1, records.end(), is_later) &&
+                std::ranges::none_of(unwritten_, is_unwritten))
+                unwritten_.push_back({topic.first, it->key, it->value});
+        }
+        records.erase(lost, records.end());
+    }
+    ++era_;
+    away_since_.reset();
+    reset_connections();
+    asio::co_spawn(io_, write_again(delay), asio::detached);
+}
+
+asio::awaitable<void> fake_store::write_again(milliseconds delay)
+{
+    const auto era = era_;
+    co_await sleep_for(delay);
+    if (era == era_ && !away_since_)
+        for (auto& [topic, key, value] : std::exchange(unwritten_, {}))
+            topics_[topic].push_back({key, value, boot_clock::now(), true});
+}
+
+asio::awaitable<void> fake_store::append_late(std::string topic, http_request request,
+                                              std::optional<std::uint64_t> expected_end,
+                                              std::array<milliseconds, 2> delays)
+{
+    const auto sent_at = boot_clock::now();
+    co_await sleep_for(delays[0]);
+    while (boot_clock::now() < sent_at + delays[1]) {
+        if (!away_since_ && append(topic, request, expected_end).result_int() == ok_status) {
+            ++late_appends_;
+            co_return;
+        }
+        co_await sleep_for(read_check_interval);
+    }
+}
+
+asio::awaitable<void> fake_store::accept(std::size_t client)
+{
+    auto& endpoint = endpoints_[client];
+    while (true) {
+        auto [failed, socket] = co_await endpoint.acceptor.async_accept(as_result);
+        if (failed)
+            co_return;
+        auto connection = std::make_shared<asio::ip::tcp::socket>(std::move(socket));
+        connection->set_option(asio::ip::tcp::no_delay(true));
+        endpoint.connections.insert(connection);
+        asio::co_spawn(io_, serve(client, std::move(connection)), asio::detached);
+    }
+}
+
+asio::awaitable<void> fake_store::serve(std::size_t client, std::shared_ptr<asio::ip::tcp::socket> connection)
+{
+    namespace http = boost::beast::http;
+    boost::beast::flat_buffer buffer;
+    while (connection->is_open()) {
+        http_request request;
+        if (const auto [failed, size] = co_await http::async_read(*connection, buffer, request, as_result);
+            failed)
+            break;
+        auto response = co_await answer(client, std::move(request));
+        if (!response || !connection->is_open())
+            break;
+        calls_[client].gone += response->result() == http::status::gone ? 1 : 0;
+        response->set("Store-Era", std::to_string(era_));
+        response->prepare_payload();
+        if (const auto [failed, size] = co_await http::async_write(*connection, *response, as_result); failed)
+            break;
+    }
+    boost::system::error_code ignored;
+    connection->close(ignored);
+    endpoints_[client].connections.erase(connection);
 }
 
 std::size_t fake_store::key_count(const std::string& topic) const
@@ -85,27 +196,37 @@
     const auto found = topics_.find(topic);
     std::map<std::string, std::string> newest;
     if (found != topics_.end())
-        for (const auto& [key, value] : found->second)
-            newest[key] = value;
+        for (const auto& written : found->second)
+            newest[written.key] = written.value;
     return static_cast<std::size_t>(
         std::ranges::count_if(newest, [](const auto& entry) { return !entry.second.empty(); }));
 }
 
-asio::awaitable<http_response> fake_store::answer(std::size_t client, http_request request)
+asio::awaitable<std::optional<http_response>> fake_store::answer(std::size_t client, http_request request)
 {
-    ++calls_;
     const std::string target{request.target()};
     auto topic = query_value(target, "topic");
-    if (access_.at(client) == store_access::refused)
+    const bool writes = target.starts_with("/api/log-append");
+    ++(writes ? calls_[client].writes : calls_[client].reads);
+    if (access_of(client) == store_access::refused)
         co_return make_response(503, "unavailable\n");
-    while (access_.at(client) == store_access::silent)
-        co_await sleep_for(read_check_interval);
+    if (access_of(client) == store_access::silent) {
+        while (access_of(client) == store_access::silent)
+            co_await sleep_for(read_check_interval);
+        co_return std::nullopt;
+    }
     if (target.starts_with("/api/log-newest"))
         co_return read_newest(topic);
-    if (target.starts_with("/api/log-append")) {
-        const auto expected_end = query_value(target, "as-of");
-        co_return append(topic, request,
-                         expected_end.empty() ? std::nullopt : std::optional{std::stoull(expected_end)});
+    if (writes) {
+        const auto as_of = query_value(target, "as-of");
+        const auto expected_end = as_of.empty() ? std::nullopt : std::optional{std::stoull(as_of)};
+        if (const auto delay = expected_end ? delays_.extract(client) : decltype(delays_)::node_type{}) {
+            asio::co_spawn(io_,
+                           append_late(std::move(topic), std::move(request), expected_end, delay.mapped()),
+                           asio::detached);
+            co_return std::nullopt;
+        }
+        co_return append(topic, request, expected_end);
     }
     const auto from = std::stoull(query_value(target, "from"));
     const auto wait = query_value(target, "wait-ms");
@@ -116,12 +237,14 @@
 asio::awaitable<http_response> fake_store::read(std::string topic, std::uint64_t from, milliseconds wait)
 {
     const auto until = boot_clock::now() + wait;
-    while (topics_[topic].size() <= from && boot_clock::now() < until)
+    while (topics_[topic].size() == from && boot_clock::now() < until)
         co_await sleep_for(read_check_interval);
     const auto& records = topics_[topic];
+    if (records.size() < from)
+        co_return make_response(410, R"({"first":0})", "application/json");
     std::string body = big_endian(records.size(), 8) + big_endian(0, 8);
     for (auto offset = from; offset < records.size(); ++offset) {
-        const auto& [key, value] = records[offset];
+        const auto& [key, value, appended, is_external] = records[offset];
         body += big_endian(1 + key.size() + value.size(), length_bytes);
         body += static_cast<char>(key.size());
         body += key + value;
@@ -168,8 +291,8 @@
         const auto length = parse_big_endian(rest.substr(0, length_bytes));
         const auto content = rest.substr(length_bytes, length);
         const auto key_length = static_cast<unsigned char>(content.front());
-        records.push_back(
-            {std::string{content.substr(1, key_length)}, std::string{content.substr(1 + key_length)}});
+        records.push_back({std::string{content.substr(1, key_length)},
+                           std::string{content.substr(1 + key_length)}, boot_clock::now()});
         rest.remove_prefix(length_bytes + length);
     }
     body["end"] = to_json(records.size());
--- a/tests/support/fake_target.cpp
+++ b/tests/support/fake_target.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 
@@ -61,11 +62,11 @@
     acceptor_.listen();
     id_ = "t" + std::to_string(endpoint_.address().to_v4().to_uint() & host_mask) +
           (behaviour_.keeps_id ? "" : "-" + std::to_string(ends_ + 1));
-    register_incarnation();
+    write_registration(1);
     asio::co_spawn(io_, accept(ends_), asio::detached);
 }
 
-void fake_target::register_incarnation()
+void fake_target::write_registration(unsigned sequence)
 {
     Json::Value entry;
     entry["address"] = endpoint_.address().to_string() + ":" + std::to_string(endpoint_.port());
@@ -74,7 +75,7 @@
     entry["info"]["zone"] = data_centre_;
     entry["info"]["slots"] = behaviour_.slots;
     entry["status"]["state"] = "ready";
-    entry["status"]["sequence"] = 1;
+    entry["status"]["sequence"] = sequence;
     entry["status"]["cold-remaining"] = "0ms";
     if (behaviour_.keeps_id)
         entry["born"] = Json::Value{static_cast<Json::Int64>(first_start_unix_ms + ends_)};
@@ -109,29 +110,39 @@
     co_return caller->socket.is_open() && (!closed || closed == asio::error::would_block);
 }
 
-void fake_target::end()
+asio::awaitable<void> fake_target::lose_registration(milliseconds duration)
 {
+    store_.put(registrations_topic, id_, std::nullopt);
+    co_await sleep_for(duration);
+    write_registration(1);
+}
+
+void fake_target::end(bool restarts)
+{
+    key_events_.push_back({key_event_kind::end, incarnation_name(), 0, key_count - 1, 0, boot_clock::now()});
     ++ends_;
     boost::system::error_code ignored;
     acceptor_.close(ignored);
     reset_connections();
     held_until_.assign(key_count, {});
+    fences_.assign(key_count, 0);
+    work_.clear();
     running_ = 0;
     leaving_ = false;
     queue_.clear();
-    asio::co_spawn(io_, restart(), asio::detached);
+    asio::co_spawn(io_, restart(restarts), asio::detached);
 }
 
-asio::awaitable<void> fake_target::restart()
+asio::awaitable<void> fake_target::restart(bool restarts)
 {
     const auto ended_id = id_;
     co_await sleep_for(std::min(behaviour_.restart_delay, behaviour_.expiry_delay));
-    if (behaviour_.restart_delay <= behaviour_.expiry_delay)
+    if (restarts && behaviour_.restart_delay <= behaviour_.expiry_delay)
         start_incarnation();
     co_await sleep_for(std::chrono::abs(behaviour_.expiry_delay - behaviour_.restart_delay));
     if (id_ != ended_id || !acceptor_.is_open())
         store_.put(registrations_topic, ended_id, std::nullopt);
-    if (behaviour_.restart_delay > behaviour_.expiry_delay)
+    if (restarts && behaviour_.restart_delay > behaviour_.expiry_delay)
         start_incarnation();
 }
 
@@ -158,7 +169,7 @@
         auto request = parser.release();
         http_response response;
         if (request.target().starts_with("/api/"))
-            response = handle_order(request);
+            response = co_await handle_order(std::move(request), incarnation);
         else
             response = co_await execute(std::move(request), caller->from, incarnation);
         if (incarnation != ends_ || !co_await wait_for_link(caller))
@@ -256,22 +267,40 @@
     co_return !failed;
 }
 
-http_response fake_target::handle_order(const http_request& request)
+asio::awaitable<http_response> fake_target::handle_order(http_request request, unsigned incarnation)
 {
     const auto parsed = parse_json(request.body(), "order");
     const auto* order = std::get_if<Json::Value>(&parsed);
     if (order == nullptr || !order->isObject())
-        return make_response(400, "malformed\n");
-    // A release names no time.
-    const auto held_until =
-        boot_clock::now() + milliseconds{std::atoi((*order)["hold_time"].asString().c_str())};
-    for (auto key = (*order)["from"].asUInt(); key <= (*order)["target"].asUInt(); ++key)
-        held_until_.at(key) = held_until;
-    auto response = make_response(200, "");
+        co_return make_response(400, "malformed\n");
+    const bool releases = request.target().starts_with("/api/release");
+    key_event event{releases ? key_event_kind::release : key_event_kind::grant,
+                    incarnation_name(),
+                    (*order)["from"].asUInt(),
+                    (*order)["target"].asUInt(),
+                    (*order)["fence"].asUInt64(),
+                    boot_clock::now(),
+                    milliseconds{std::atoi((*order)["hold_time"].asString().c_str())}};
+    event.accepted = releases || std::all_of(fences_.begin() + event.from, fences_.begin() + event.to + 1,
+                                             [&](std::uint64_t seen) { return seen <= event.fence; });
+    const auto expected = request["X-Expected-Instance"];
+    const bool is_for_other = !expected.empty() && expected != id_;
+    event.accepted = event.accepted && !is_for_other;
+    auto response = make_response(event.accepted ? 200 : is_for_other ? 421 : 409, "");
     response.set("X-Instance-Id", id_);
+    key_events_.push_back(event);
+    if (event.accepted) {
+        for (auto key = event.from; key <= event.to; ++key) {
+            // A release names no time.
+            held_until_.at(key) = event.at + event.hold;
+            fences_.at(key) = std::max(fences_.at(key), event.fence);
+        }
+        while (releases && incarnation == ends_ && is_working_on(event.from, event.to))
+            co_await sleep_for(slot_check_interval);
+    }
     if (leaving_)
         response.set("Server-Leaving", "1");
-    return response;
+    co_return response;
 }
 
 asio::awaitable<bool> fake_target::wait_for_slot(unsigned incarnation)
@@ -300,9 +329,9 @@
         response.set("Server-Limit", std::to_string(*limits_.back().second));
         sent = boot_clock::now();
     };
-    const auto key = request["X-Shard-Key"];
-    const bool misses_key =
-        behaviour_.keyed && held_until_.at(std::stoul(std::string{key})) <= boot_clock::now();
+    const auto key_text = std::string{request["X-Shard-Key"]};
+    const auto key = behaviour_.keyed ? static_cast<unsigned>(std::stoul(key_text)) : 0;
+    const bool misses_key = behaviour_.keyed && held_until_.at(key) <= boot_clock::now();
     if (request["X-Expected-Instance"] != id_ || misses_key) {
         response.result(http::status::misdirected_request);
         response.set("X-Not-Executed", "1");
@@ -322,12 +351,14 @@
         name_limit(runs_[run].limit_sent);
         co_return response;
     }
+    work_.insert(key);
     if (!co_await wait_for_slot(incarnation))
         co_return response;
     runs_[run].started = boot_clock::now();
     co_await sleep_for(lethal ? behaviour_.time_to_end : behaviour_.service_time);
     if (incarnation != ends_)
         co_return response;
+    end_work_on(key);
     if (lethal)
         end();
     else
--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "support/fake_store.hpp"
+#include "support/ownership_history.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -107,7 +108,17 @@
     /// Sets how the target fails from now on, with every second request that it executes.
     void set_failure(target_failure failure) { failure_ = failure; }
     /// Ends the process: resets all connections, stops listening and restarts later.
-    void end();
+    /// @param restarts whether there is a next incarnation.
+    void end(bool restarts = true);
+    /// Loses the registration and registers again after a time, without ending.
+    asio::awaitable<void> lose_registration(milliseconds duration);
+    /// Returns whether the target holds a key.
+    [[nodiscard]] bool holds(unsigned key) const { return held_until_.at(key) > boot_clock::now(); }
+    /// Writes the registration of the current incarnation.
+    /// @param sequence sequence number of the registration.
+    void write_registration(unsigned sequence);
+    /// Returns the orders about keys that have arrived, and the ends of incarnations.
+    [[nodiscard]] const std::vector<key_event>& key_events() const noexcept { return key_events_; }
     /// Resets all connections and goes on.
     void reset_connections();
     /// Resets the connections from an address and goes on.
@@ -121,7 +132,6 @@
     struct connection;
 
     void start_incarnation();
-    void register_incarnation();
     asio::awaitable<void> accept(unsigned incarnation);
     /// Sends the response to an executed request, or what the target sends instead of it.
     /// @returns whether the connection stays open.
@@ -132,8 +142,15 @@
     /// Waits while a connection is silent.
     /// @returns whether the connection is still open.
     asio::awaitable<bool> wait_for_link(std::shared_ptr<connection> caller);
-    [[nodiscard]] http_response handle_order(const http_request& request);
-    asio::awaitable<void> restart();
+    asio::awaitable<http_response> handle_order(http_request request, unsigned incarnation);
+    [[nodiscard]] bool is_working_on(unsigned from, unsigned to) const
+    {
+        const auto first = work_.lower_bound(from);
+        return first != work_.end() && *first <= to;
+    }
+    void end_work_on(unsigned key) { work_.erase(work_.find(key)); }
+    [[nodiscard]] std::string incarnation_name() const { return id_ + "#" + std::to_string(ends_); }
+    asio::awaitable<void> restart(bool restarts);
     /// Waits for a slot in the order of the calls.
     /// @returns false if the incarnation has ended meanwhile.
     asio::awaitable<bool> wait_for_slot(unsigned incarnation);
@@ -150,6 +167,11 @@
     std::set<asio::ip::address> silent_;
     /// Times until which the keys are held.
     std::vector<time_point> held_until_ = std::vector<time_point>(key_count);
+    /// Highest fences that the incarnation has seen on the keys.
+    std::vector<std::uint64_t> fences_ = std::vector<std::uint64_t>(key_count);
+    /// Keys of the requests that run or wait for a slot.
+    std::multiset<unsigned> work_;
+    std::vector<key_event> key_events_;
     std::string id_;
     unsigned ends_ = 0;
     unsigned running_ = 0;
--- a/tests/support/front_deployment.hpp
+++ b/tests/support/front_deployment.hpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <map>
 #include <netinet/in.h>
 #include <set>
@@ -64,8 +65,9 @@
     std::string retry_after;
     std::string id;
     std::string body = {};
-    /// Number of the instance that was asked, for the requests of `start_load`.
+    /// Number of the instance that was asked, and key, for the requests of `start_load`.
     std::size_t front = 0;
+    unsigned key = 0;
 };
 
 /// Returns the message of a request.
@@ -135,9 +137,7 @@
         std::filesystem::create_directories(folder_);
         configure(options);
         for (std::uint8_t index = 0; index < options.targets; ++index)
-            targets.push_back(std::make_unique<fake_target>(
-                io, store, fixed_endpoint(static_cast<std::uint8_t>(first_target_host + index)), "s",
-                index % 2 == 0 ? "a" : "b", options.behaviour, runs));
+            add_target(options.behaviour);
         for (std::size_t index = 0; index < options.fronts; ++index) {
             const std::string data_centre = index % 2 == 0 ? "a" : "b";
             fronts.push_back(
@@ -149,7 +149,9 @@
     ~deployment()
     {
         fronts.clear();
-        std::filesystem::remove_all(folder_);
+        // The logs of a case that failed are needed to trace it.
+        if (std::getenv("TEASELTALLY_KEEP_LOGS") == nullptr)
+            std::filesystem::remove_all(folder_);
     }
     deployment(const deployment&) = delete;
     deployment& operator=(const deployment&) = delete;
@@ -178,13 +180,17 @@
     /// Returns the number of the instance that coordinates, according to the instances' output.
     [[nodiscard]] std::size_t coordinator() const
     {
+        // One that was killed has not said that it coordinates no more. Each line begins with its time.
+        std::pair<std::string, std::size_t> latest;
         for (std::size_t front = 0; front < fronts.size(); ++front) {
             const auto output = fronts[front]->output();
             const auto last = output.rfind("coordinates=");
             if (last != std::string::npos && output.substr(last).starts_with("coordinates=1"))
-                return front;
+                latest = std::max(latest, {output.substr(output.rfind('\n', last) + 1), front});
         }
-        throw std::runtime_error("no instance coordinates");
+        if (latest.first.empty())
+            throw std::runtime_error("no instance coordinates");
+        return latest.second;
     }
     /// Waits until an instance reports that it is ready.
     asio::awaitable<void> wait_until_ready(std::size_t front)
@@ -253,6 +259,37 @@
     }
     void stop_load() { load_stopped_ = true; }
 
+    /// Writes a new version of the configuration.
+    /// @param edit changes the former version.
+    template <typename Edit>
+    void change_configuration(Edit edit)
+    {
+        edit(configuration_);
+        constexpr auto version_digits = 8;
+        auto version = std::to_string(++version_);
+        configuration_["version"] = std::string(version_digits - version.size(), '0') + version;
+        store.put("keyed.op", "config", json_text(configuration_));
+    }
+    /// Writes a new version of the configuration with a further route like the first one.
+    void add_route(const std::string& name, const std::string& service = "s")
+    {
+        change_configuration([&](Json::Value& changed) {
+            auto& rows = changed["routes"]["rows"];
+            auto route = rows[0];
+            route[0] = name;
+            route[2] = "/" + name + "/";
+            route[8] = service;
+            rows.append(route);
+        });
+    }
+    /// Starts a further target.
+    void add_target(const target_behaviour& behaviour, const std::string& service = "s")
+    {
+        const auto index = static_cast<std::uint8_t>(targets.size());
+        targets.push_back(std::make_unique<fake_target>(
+            io, store, fixed_endpoint(static_cast<std::uint8_t>(first_target_host + index)), service,
+            index % 2 == 0 ? "a" : "b", behaviour, runs));
+    }
     /// Returns the number of targets that requests ended.
     [[nodiscard]] std::size_t ends() const
     {
@@ -328,6 +365,8 @@
         asio::ip::tcp::socket{io}, asio::ip::tcp::socket{io}, asio::ip::tcp::socket{io},
         asio::ip::tcp::socket{io}};
     std::filesystem::path folder_;
+    Json::Value configuration_;
+    unsigned version_ = 1;
     std::size_t next_id_ = 0;
     bool innocents_stopped_ = false;
     bool load_stopped_ = false;
@@ -347,6 +386,7 @@
         configuration["routes"]["rows"][0][3] = options.semantics;
         configuration["routes"]["rows"][0][4] = options.route_timeout;
         configuration["services"]["rows"][0][3] = options.behaviour.keyed;
+        configuration_ = configuration;
         store.put("keyed.op", "config", json_text(configuration));
     }
     asio::awaitable<void> send_load(std::size_t front, milliseconds interval)
@@ -366,8 +406,10 @@
     }
     asio::awaitable<void> record_load(std::size_t front, caller_request request)
     {
+        const auto key = request.key;
         auto answer = co_await call(fronts[front]->callers(), std::move(request));
         answer.front = front;
+        answer.key = key;
         load_answers.push_back(answer);
     }
     asio::awaitable<void> send_innocents(std::size_t front, std::string caller, std::string request_path)
@@ -405,11 +447,14 @@
     [[nodiscard]] double share() const { return static_cast<double>(served) / static_cast<double>(sent); }
 };
 
-inline served_share answers_between(const deployment& site, time_point from, time_point to)
+/// Counts the answers to the requests that were sent in a time span.
+/// @param left_out keys whose requests are not counted.
+inline served_share answers_between(const deployment& site, time_point from, time_point to,
+                                    const std::set<unsigned>& left_out = {})
 {
     served_share result;
     for (const auto& answer : site.load_answers) {
-        if (answer.sent < from || answer.sent >= to)
+        if (answer.sent < from || answer.sent >= to || left_out.contains(answer.key))
             continue;
         ++result.sent;
         result.served += answer.status == 200 ? 1 : 0;
--- a/tests/support/front_process.cpp
+++ b/tests/support/front_process.cpp
@@ -32,7 +32,7 @@
     settings << "[instance]\nname = " << name_ << "\ndata_centre = " << data_centre
              << "\ncaller_address = " << text_of(callers_) << "\nready_address = " << text_of(readiness_)
              << "\npeer_address = " << text_of(fixed_endpoint(host, 3))
-             << "\n[platform]\naddress = " << text_of(store) << "\n";
+             << "\n[platform]\naddress = " << text_of(store) << "\nheartbeat = 870ms\n";
 }
 
 void front_process::set_target_links(target_links links) const
@@ -61,18 +61,17 @@
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
     // The sockets of this process must not stay open in the instance when they are closed here.
     posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
-    std::string program = TEASELTALLY_FRONT;
     std::string option = "--config=" + settings;
-    std::array<char*, 3> arguments{program.data(), option.data(), nullptr};
+    std::array<char*, 3> arguments{program_.data(), option.data(), nullptr};
     std::string links = "TEASELTALLY_TEST_LINKS=" + (folder_ / (name_ + ".links")).string();
     std::string source = "TEASELTALLY_TEST_SOURCE=" + address().to_string() + ":0";
     std::string silent = "TEASELTALLY_TEST_SILENT=" + text_of(silent_endpoint_);
     std::array<char*, 4> environment{links.data(), source.data(), silent.data(), nullptr};
     const int failed =
-        posix_spawn(&process_, program.c_str(), &files, nullptr, arguments.data(), environment.data());
+        posix_spawn(&process_, program_.c_str(), &files, nullptr, arguments.data(), environment.data());
     posix_spawn_file_actions_destroy(&files);
     if (failed != 0)
-        throw std::runtime_error("cannot start " + program);
+        throw std::runtime_error("cannot start " + program_);
 }
 
 void front_process::signal(int number) const
@@ -90,6 +89,13 @@
     process_ = -1;
 }
 
+bool front_process::has_ended()
+{
+    if (process_ > 0 && ::waitpid(process_, nullptr, WNOHANG) == process_)
+        process_ = -1;
+    return process_ <= 0;
+}
+
 unsigned front_process::peak_memory_mb() const
 {
     std::ifstream status("/proc/" + std::to_string(process_) + "/status");
--- a/tests/support/front_process.hpp
+++ b/tests/support/front_process.hpp
@@ -31,8 +31,12 @@
     front_process(front_process&&) = delete;
     front_process& operator=(front_process&&) = delete;
 
+    /// Sets the program that is started from now on.
+    void set_program(std::string program) { program_ = std::move(program); }
     /// Starts the process; it must not be running.
     void start();
+    /// Returns whether the process has ended by itself since its start.
+    [[nodiscard]] bool has_ended();
     /// Sends a signal to the process.
     void signal(int number) const;
     /// Sets how new connections to targets are treated from now on.
@@ -56,6 +60,7 @@
     tcp_endpoint callers_;
     tcp_endpoint readiness_;
     tcp_endpoint silent_endpoint_;
+    std::string program_ = TEASELTALLY_FRONT;
     pid_t process_ = -1;
 };
 
