--- a/include/teaseltally/admission/crash_quarantine.hpp
+++ b/include/teaseltally/admission/crash_quarantine.hpp
@@ -2,6 +2,7 @@
 
 #include <teaseltally/types.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <initializer_list>
@@ -105,6 +106,14 @@
     bool apply(const crash_record& record, time_point now);
     /// Removes the reports whose key is not among `keys`, except for changes that were not extracted yet.
     void retain(const std::set<std::string, std::less<>>& keys, time_point now);
+    /// Records that this instance has claimed a trial.
+    /// @param record record that `next_trial` returned.
+    void on_trial_claimed(const crash_record& record, time_point now);
+    /// Adds the reports and trials of this instance that a store lacks, which came back from an older copy,
+    /// to those that `extract_changes` returns.
+    /// @param keys keys of the records that the store has.
+    /// @returns the number of records added.
+    std::size_t share_missing(const std::set<std::string, std::less<>>& keys);
     /// Removes and returns the records that this instance changed, with their current values.
     [[nodiscard]] std::vector<crash_record> extract_changes();
     /// Adds records to those that `extract_changes` returns, after they could not be shared.
@@ -152,6 +161,8 @@
     std::map<std::uint64_t, std::set<std::string>> keys_by_fingerprint_;
     /// Times of the claims of trials.
     std::map<std::uint64_t, time_point> trials_;
+    /// Trials among them that this instance claimed.
+    std::set<std::uint64_t> claimed_trials_;
     /// Fingerprints of completed requests, and the order in which they were added.
     std::unordered_set<std::uint64_t> completed_;
     std::deque<std::uint64_t> completed_order_;
--- a/include/teaseltally/knowledge/target_directory.hpp
+++ b/include/teaseltally/knowledge/target_directory.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <teaseltally/knowledge/log_position.hpp>
 #include <teaseltally/types.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -40,19 +42,37 @@
 /// Effect of an update on the directory.
 enum class directory_change { none, added, updated, removed };
 
-/// Registrations by id. An update at a lower offset than the last one for the same id is ignored.
+/// Registrations by id. An update at a lower position than the last one for the same id is ignored.
+///
+/// A store that comes back from an older copy also has entries of targets that have left since. What the
+/// directory knows of removed incarnations tells them from targets that register again.
 class target_directory {
 public:
-    /// Applies a registration. It is ignored if its incarnation or sequence number is older than the current
-    /// one.
+    /// Maximum number of removed targets that are remembered; the one removed first is forgotten. It is more
+    /// than ten times the number of targets in the largest deployment.
+    static constexpr std::size_t max_removed = 4096;
+
+    /// Returns whether a registration is older than what is known of its target: its incarnation or sequence
+    /// number is lower, or it was removed in an older era of the store with at least this sequence number.
+    /// @param position position of the record in its stream.
+    [[nodiscard]] bool is_outdated(const target_entry& entry, log_position position) const;
+    /// Returns whether an outdated registration may be of a target that lives: the store removed it in an
+    /// older era although it had not said that it leaves, and no later incarnation is known. What the copy
+    /// has of such a target does not change while it only goes on reporting.
+    /// @param position position of the record in its stream.
+    [[nodiscard]] bool may_live(const target_entry& entry, log_position position) const;
+    /// Applies a registration of a target that was removed in an older era and turned out to live.
+    /// @returns whether the target was added.
+    directory_change readmit(target_entry entry, log_position position);
+    /// Applies a registration. It is ignored if it is outdated.
     /// @param entry registration as the target reported it.
-    /// @param offset offset of the record in its stream.
+    /// @param position position of the record in its stream.
     /// @returns whether the target was added, updated or left unchanged.
-    directory_change update(target_entry entry, std::uint64_t offset);
+    directory_change update(target_entry entry, log_position position);
     /// Removes the registration of a target.
-    /// @param offset offset of the record in its stream.
+    /// @param position position of the record in its stream.
     /// @returns whether the target was removed or was not registered.
-    directory_change remove(std::string_view id, std::uint64_t offset);
+    directory_change remove(std::string_view id, log_position position);
 
     /// Returns the registration of a target, or null if it has none.
     [[nodiscard]] const target_entry* find(std::string_view id) const;
@@ -63,13 +83,24 @@
     }
 
 private:
-    /// Sets the last offset of an id unless the new one is lower.
-    /// @returns false if the offset is lower than the last one.
-    [[nodiscard]] bool advance_offset(std::string_view id, std::uint64_t offset);
+    /// Sets the last position of an id unless the new one is lower.
+    /// @returns false if the position is lower than the last one.
+    [[nodiscard]] bool advance_position(std::string_view id, log_position position);
+    void remember_removed(const target_entry& entry, log_position position);
+
+    /// Last registration of a removed target.
+    struct removed_entry {
+        std::int64_t start_unix_ms = 0;
+        std::uint64_t sequence = 0;
+        bool draining = false;
+        /// Position of the removal.
+        log_position position;
+    };
 
     std::map<std::string, target_entry, std::less<>> entries_;
-    /// Offset of the last record of each id, including removed ones, so that stale records are recognised.
-    std::map<std::string, std::uint64_t, std::less<>> offsets_;
+    std::map<std::string, removed_entry, std::less<>> removed_;
+    /// Position of the last record of each id, including removed ones, so that stale records are recognised.
+    std::map<std::string, log_position, std::less<>> positions_;
 };
 
 /// Returns the name of one incarnation of a target.
--- a/include/teaseltally/net/http.hpp
+++ b/include/teaseltally/net/http.hpp
@@ -39,6 +39,8 @@
     bool timed_out = false;
     /// Cause, for logs.
     std::string message;
+    /// Whether the host of the server refused the connection.
+    bool refused = false;
 };
 
 /// Complete response, or the failure that prevented it.
--- a/include/teaseltally/net/peer_feed.hpp
+++ b/include/teaseltally/net/peer_feed.hpp
@@ -91,7 +91,8 @@
     /// and returns them.
     /// @param request JSON array with one entry per stream: the next offset, null if the other instance has
     /// no snapshot of the stream, or a string if the stream is not requested. Streams without an entry are
-    /// not requested.
+    /// not requested. The header `Stream-Eras` holds the era of each entry; without it, from an instance of
+    /// an earlier version, each is that of the local stream.
     /// @returns the updates, or a response with status 400 if the request is malformed.
     [[nodiscard]] asio::awaitable<http_response> handle_request(http_request request);
     /// Wakes the requests that wait for updates; called when a local stream has changed.
@@ -115,6 +116,11 @@
     void set_reads_store(bool reads);
     void record_failure(const std::string& instance, time_point now);
     [[nodiscard]] std::string encode_positions(std::optional<stream_kind> single_stream) const;
+    /// Returns the eras of all streams as the value of a header.
+    [[nodiscard]] std::string encode_eras() const;
+    /// Returns the only era of the store that there has been, 0 if the streams know none; nothing if there
+    /// may have been several, so that an update that names no era may be of any of them.
+    [[nodiscard]] std::optional<std::uint64_t> only_era() const;
 
     asio::any_io_executor executor_;
     http_client& client_;
--- a/include/teaseltally/ownership/assignment.hpp
+++ b/include/teaseltally/ownership/assignment.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <teaseltally/knowledge/log_position.hpp>
 #include <teaseltally/result.hpp>
 #include <teaseltally/types.hpp>
 
@@ -59,6 +60,9 @@
     target_incarnation incarnation;
     /// Log time (see `coordinator_claim::log_time`) at which the range was assigned to another target.
     milliseconds reassigned_at{0};
+    /// Time from the reassignment by which every grant of the incarnation for the range has expired; none if
+    /// the grants may have been renewed after the reassignment was sent.
+    std::optional<milliseconds> grants_left = std::nullopt;
     bool operator==(const former_owner&) const = default;
 };
 
@@ -68,7 +72,8 @@
     key_range keys;
     /// Incarnation of the target that owns the range.
     target_incarnation owner;
-    /// Fencing token of the assignment: the log offset of the record that made it.
+    /// Fencing token of the assignment, which rises with the position of the record that made it; see
+    /// `fence_of`.
     std::uint64_t fence = 0;
     /// Former owners that may still hold grants for keys of the range.
     std::vector<former_owner> former_owners;
@@ -105,17 +110,77 @@
                 range.former_owners.clear();
     }
 
+    /// Sets the `grants_left` of the former owners that lost their ranges when these were assigned.
+    /// @param fence fencing token of the assignment. Equal times may be those of an earlier record, since log
+    /// times of different coordinators differ.
+    /// @param log_time log time of the assignment.
+    /// @param grants_left_of function that is called with the keys of a range and a former owner's
+    /// incarnation.
+    template <typename Function>
+    void set_grants_left(std::uint64_t fence, milliseconds log_time, Function grants_left_of)
+    {
+        for (auto& range : ranges_)
+            for (auto& former : range.former_owners)
+                if (range.fence == fence && former.reassigned_at == log_time)
+                    former.grants_left = grants_left_of(range.keys, former.incarnation);
+    }
+
+    /// Sets the time at which all former owners lost their ranges.
+    /// @param log_time log time, not before that at which any of them did.
+    void restart_former_owners(milliseconds log_time);
+
     bool operator==(const assignment&) const = default;
 
 private:
     std::vector<owned_range> ranges_;
 };
 
+/// An assignment with the era in which its record was written.
+struct assignment_record {
+    /// The assignment.
+    assignment value;
+    /// Era of the store that the writer knew; none in records of builds that knew no eras.
+    std::optional<std::uint64_t> era;
+};
+
 /// Encodes an assignment as the value of a log record.
-[[nodiscard]] std::string encode(const assignment& value);
+/// @param era era of the store that the writer knows.
+[[nodiscard]] std::string encode(const assignment& value, std::optional<std::uint64_t> era = std::nullopt);
 /// Decodes an assignment from the value of a log record.
 /// @returns the assignment, or `message_malformed` with the reason.
 [[nodiscard]] result<assignment> decode_assignment(std::string_view text);
+/// Decodes an assignment and the era in which it was written from the value of a log record.
+/// @returns the record, or `message_malformed` with the reason.
+[[nodiscard]] result<assignment_record> decode_assignment_record(std::string_view text);
+
+/// Number of bits of a fencing token that hold the offset of the record that made the assignment.
+inline constexpr unsigned fence_offset_bits = 32;
+
+/// Returns the fencing token that a position in the ownership log gives. Tokens rise with the position, over
+/// eras too, so that a coordinator that knows nothing of an earlier era cannot give a lower one.
+/// @param position position of the record that makes the assignment.
+/// @param origin era in which tokens are plain offsets; see `coordinator_claim::fence_origin`.
+[[nodiscard]] constexpr std::uint64_t fence_of(log_position position, std::int64_t origin) noexcept
+{
+    return ((position.era - static_cast<std::uint64_t>(origin)) << fence_offset_bits) + position.offset;
+}
+
+/// Safety checks that concern eras of the store, for tests that show that each is needed.
+struct ownership_guards {
+    /// Fencing tokens rise with the era.
+    bool era_in_fences = true;
+    /// Records are ordered by the era in which they were written.
+    bool era_in_record_order = true;
+    /// Only a coordinator that no other can have succeeded keeps its term in a new era.
+    bool continuity_check = true;
+    /// The first coordinator of an era excludes all targets that may hold keys unknown to it.
+    bool holder_sweep = true;
+    /// The first claim of an era writes all known assignments again, and assignments of an earlier era than
+    /// the claim's are not relied on.
+    bool assignments_rewritten = true;
+    /// A coordinator renews no grants whose end it has recorded.
+    bool renewals_suspended = true;
+};
 
 /// Record with which an instance claims the role of coordinator of key ownership.
 struct coordinator_claim {
@@ -131,6 +196,15 @@
     milliseconds log_time{0};
     /// Whether the instance gives up the role, so that another one takes over at once.
     bool resigned = false;
+    /// Era of the store that the writer knew; none in claims of builds that knew no eras.
+    std::optional<std::uint64_t> era = std::nullopt;
+    /// Era in which fencing tokens are plain offsets, handed on from claim to claim; none in claims of builds
+    /// that knew no eras.
+    std::optional<std::int64_t> fence_origin = std::nullopt;
+    /// Whether targets may hold keys that the log does not show, because records were lost.
+    bool unsettled = false;
+    /// Log time at which the coordinator's term began; none in claims of earlier builds.
+    std::optional<milliseconds> began = std::nullopt;
     bool operator==(const coordinator_claim&) const = default;
 };
 
@@ -141,6 +215,11 @@
 [[nodiscard]] result<coordinator_claim> decode_claim(std::string_view text);
 
 /// State of key ownership after the records of the ownership log up to a position have been applied.
+///
+/// The record of each key that was written last is kept. Records are ordered by the era in which they were
+/// written and the offset, not by the position at which they were read: a record that came back with a copy
+/// of the store, or an append of an earlier era that was carried out late, is not newer than what was written
+/// since.
 class ownership_log {
 public:
     /// Reciprocal of the maximum relative clock error, which the platform specifies as 2% fast or slow.
@@ -149,24 +228,46 @@
     static constexpr std::string_view claim_key = "coordinator";
     /// Prefix of the key of a service's record.
     static constexpr std::string_view service_prefix = "service/";
+    /// First era of a store. No earlier one can have had records.
+    static constexpr std::uint64_t first_era = 1;
+
+    /// Creates the state of an empty log.
+    explicit ownership_log(ownership_guards guards = {}) : guards_(guards) {}
 
     /// Applies a record. A record that cannot be decoded changes only the position and the time of the last
-    /// record. A record whose offset is not higher than that of an applied record of the same key is ignored.
+    /// record. A record that was not written after the applied record of the same key is ignored.
     /// @param now time at which the record was read.
-    /// @param offset offset of the record in the log.
+    /// @param position position at which the record was read.
     /// @returns the decoding error, or nothing if the record was applied or ignored.
     std::optional<error> apply(time_point now, std::string_view key, std::string_view value,
-                               std::uint64_t offset);
+                               log_position position);
 
-    /// Returns the offset of the next record to apply.
-    [[nodiscard]] std::uint64_t position() const noexcept { return position_; }
+    /// Returns the position of the next record to apply.
+    [[nodiscard]] log_position position() const noexcept { return position_; }
     /// Advances the position; a smaller position than the current one is ignored.
-    /// @param position offset of the next record to apply.
-    void set_position(std::uint64_t position) noexcept { position_ = std::max(position_, position); }
+    /// @param position position of the next record to apply.
+    void set_position(log_position position) noexcept;
+    /// Returns whether positions of an earlier era than the current one have been applied.
+    [[nodiscard]] bool knows_earlier_era() const noexcept { return earlier_end_.has_value(); }
     /// Returns the latest claim, or nothing if the log has none.
     [[nodiscard]] const std::optional<coordinator_claim>& claim() const noexcept { return claim_; }
-    /// Returns the term of the current coordinator: the offset of the first record of its claim.
-    [[nodiscard]] std::uint64_t term() const noexcept { return term_; }
+    /// Returns the term of the current coordinator: where the first record of its claim was written.
+    [[nodiscard]] log_position term() const noexcept { return term_; }
+    /// Returns whether no claim was written in the current era and there may have been an earlier one, so
+    /// that records of the earlier one may be unknown.
+    [[nodiscard]] bool begins_era() const noexcept
+    {
+        return claim_ ? claim_written_.era < position_.era : position_.era > first_era;
+    }
+    /// Returns whether a known assignment was not written in the current era.
+    [[nodiscard]] bool has_assignment_of_earlier_era() const;
+    /// Returns whether the store's newest record of a service is not the one that was written last.
+    [[nodiscard]] bool is_shadowed(std::string_view service) const;
+    /// Returns the `fence_origin` of the next claim.
+    [[nodiscard]] std::int64_t next_fence_origin() const;
+    /// Returns an upper bound of the time at which the term of the latest claim began, or nothing if the
+    /// claim does not say so.
+    [[nodiscard]] std::optional<time_point> latest_term_begin() const;
     /// Returns the time at which the last new record was read.
     [[nodiscard]] time_point last_record_at() const noexcept { return last_record_at_; }
     /// Returns an upper bound of the time at which the coordinator sent the record that assigned a range of a
@@ -188,17 +289,41 @@
     }
 
 private:
-    std::uint64_t position_ = 0;
+    /// Latest record of a record key.
+    struct key_history {
+        /// Position after the place where the record was written.
+        log_position written_end;
+        /// Position after the newest place at which a record of the key was read.
+        log_position read_end;
+        /// Whether the record read there is not the one that was written last.
+        bool shadowed = false;
+    };
+
+    [[nodiscard]] log_position written_at(log_position position,
+                                          std::optional<std::uint64_t> era) const noexcept;
+    /// Returns whether a record that was read at a position was never in the log of the earlier era that it
+    /// names, if it isn't known from there: all records of that log are known up to the end that was read.
+    /// Its append was sent for this place, lost against another one, and was carried out late.
+    [[nodiscard]] bool is_lost_append(log_position position, std::optional<std::uint64_t> era) const noexcept;
+    /// Notes that a record was read and returns whether it was written after the known one of its key.
+    /// @param era era that the record names.
+    [[nodiscard]] bool accept(time_point now, std::string_view key, log_position position,
+                              std::optional<std::uint64_t> era);
+
+    ownership_guards guards_;
+    log_position position_;
+    /// End of the log in the last earlier era, as far as it was read.
+    std::optional<log_position> earlier_end_;
     std::optional<coordinator_claim> claim_;
     /// Time at which the latest claim was read.
     time_point claim_read_at_{};
-    std::uint64_t term_ = 0;
+    log_position claim_written_;
+    log_position term_;
     time_point last_record_at_{};
     std::map<std::string, assignment, std::less<>> services_;
-    /// Offset of the latest record of each record key, plus 1.
-    std::map<std::string, std::uint64_t, std::less<>> next_offsets_;
-    /// Times at which assignment records were first read, by record offset; the lowest offsets are dropped
-    /// when the map is full.
+    std::map<std::string, key_history, std::less<>> histories_;
+    /// Times at which assignments were first read, by fencing token; the lowest tokens are dropped when the
+    /// map is full.
     std::map<std::uint64_t, time_point> read_times_;
 };
 
--- a/include/teaseltally/ownership/range_manager.hpp
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -3,6 +3,7 @@
 #include <teaseltally/admission/target_rate_limits.hpp>
 #include <teaseltally/knowledge/target_directory.hpp>
 #include <teaseltally/ownership/balancer.hpp>
+#include <teaseltally/ownership/holder_sweep.hpp>
 #include <teaseltally/ownership/target_speed.hpp>
 
 #include <map>
@@ -46,9 +47,12 @@
     milliseconds dominant_key_cooldown{3000};
     /// Time after which an order to a target has either arrived or been cancelled.
     milliseconds order_timeout{1000};
+    /// Time after the notice of a new era of the store in which targets whose registrations were lost
+    /// register again.
+    milliseconds registration_return{2500};
 };
 
-/// Appends records to the ownership log on condition that its end is at an expected offset.
+/// Appends records to the ownership log on condition that its end is at an expected position.
 struct append_order {
     /// Key and encoded value of a log record.
     struct record {
@@ -59,8 +63,8 @@
     };
     /// Records to append, in order.
     std::vector<record> records;
-    /// Offset at which the log must end for the append to succeed.
-    std::uint64_t expected_end = 0;
+    /// Position at which the log must end for the append to succeed.
+    log_position expected_end;
 };
 
 /// Grants keys to a target, or renews the grant.
@@ -79,40 +83,18 @@
     std::string handover;
 };
 
-/// Tells a target to release keys.
-struct release_order {
-    /// Id to pass to `range_manager::on_order_completed`.
-    std::uint64_t id = 0;
-    /// Target that is to release the keys.
-    target_incarnation target;
-    /// Keys to release.
-    key_range keys;
-    /// Fencing token of the range's new owner.
-    std::uint64_t fence = 0;
-};
-
 /// An order of the coordinator to the ownership log or to a target.
 using ownership_action = std::variant<append_order, grant_order, release_order>;
 
-/// Result of an order to a target.
-enum class order_status {
-    /// The target carried out the order.
-    done,
-    /// The target has seen a higher fencing token.
-    conflict,
-    /// The incarnation of the target is known to have ended.
-    terminated,
-    /// The order was not sent.
-    not_sent,
-    /// The order was sent and no usable response was received; it may have been carried out or may still be.
-    unknown,
-};
-
 /// Result of an append: `done` if the records are in the log, `stale` if the log did not end at the expected
-/// offset, `not_applied` if the records were not and will not be appended, `unknown` if they may have been
+/// position, `not_applied` if the records were not and will not be appended, `unknown` if they may have been
 /// appended or may still be.
 enum class append_status { done, stale, not_applied, unknown };
 
+/// What the process at the address in the latest claim reports: that it coordinates, that it does not, or
+/// that it is another process than the one that wrote the claim, which has ended.
+enum class coordinator_report { coordinates, idle, ended };
+
 /// State on which the coordinator bases its decisions.
 struct ownership_view {
     /// Ownership log as far as it has been read.
@@ -131,6 +113,9 @@
     /// Incarnations of targets that are leaving although their registrations do not say so; null if none are
     /// known.
     const std::set<std::string, std::less<>>* leaving = nullptr;
+    /// Time at which the last read that reached the end of the registrations was sent; nothing if the
+    /// directory is always up to date.
+    std::optional<time_point> directory_read_sent_at = std::nullopt;
 
     /// Returns whether a target is leaving, so that it must not own keys.
     [[nodiscard]] bool is_leaving(const target_entry& entry) const
@@ -147,8 +132,10 @@
     /// Creates the manager of an instance that does not coordinate yet.
     /// @param jitter additional delay of this instance before it takes over; different delays reduce the
     /// number of instances that try to take over at the same time.
-    range_manager(coordinator_claim self, ownership_timing timing, milliseconds jitter)
-        : self_(std::move(self)), timing_(timing), jitter_(jitter)
+    /// @param guards safety checks, disabled only by tests.
+    range_manager(coordinator_claim self, ownership_timing timing, milliseconds jitter,
+                  ownership_guards guards = {})
+        : self_(std::move(self)), timing_(timing), jitter_(jitter), guards_(guards)
     {
     }
 
@@ -159,16 +146,19 @@
     /// @param target id of the target.
     void record_speed_report(std::string_view target, const speed_report& report);
 
-    /// Records whether the process at the address in the latest claim reports that it coordinates. A process
-    /// that has restarted since the claim does not.
+    /// Records what the process at the address in the latest claim reports.
     /// @param session session in the claim from which the address was taken.
-    /// @param is_coordinator whether the process reports that it coordinates.
-    void record_coordinator_report(std::uint64_t session, bool is_coordinator);
+    void record_coordinator_report(std::uint64_t session, coordinator_report report);
 
     /// Sets whether this instance can reach targets. A coordinator that cannot resigns, so that another
     /// instance renews the grants, and an instance that cannot does not take over.
     void set_targets_reachable(bool reachable) noexcept { targets_reachable_ = reachable; }
 
+    /// Hands the role over, because the process is about to end: a coordinator appends a claim that is marked
+    /// as resigned, changes no owners from then on, and renews the grants until another instance has claimed
+    /// the role. This instance does not take over again.
+    void hand_over() noexcept { hands_over_ = true; }
+
     /// Returns the actions that are due.
     /// @param now time, not before that of the previous call.
     [[nodiscard]] std::vector<ownership_action> tick(time_point now, const ownership_view& view);
@@ -196,6 +186,14 @@
     [[nodiscard]] bool is_coordinator() const noexcept { return is_coordinator_; }
     /// Returns the time until which this instance has the authority to send grants.
     [[nodiscard]] time_point authority_until() const noexcept { return authority_until_; }
+    /// Returns the latest era of the store that this instance has noticed, or nothing before its first read.
+    [[nodiscard]] std::optional<std::uint64_t> noticed_era() const noexcept { return noticed_era_; }
+    /// Returns whether this instance kept its term when it noticed the latest era of the store.
+    [[nodiscard]] bool is_continuous() const noexcept { return is_coordinator_ && continuous_; }
+    /// Returns the number of ranges that this instance manages.
+    [[nodiscard]] std::size_t range_count() const;
+    /// Returns the exclusion of targets that may hold keys unknown to this instance.
+    [[nodiscard]] const holder_sweep& sweep() const noexcept { return sweep_; }
 
 private:
     /// Grant of a former owner for keys of a range; the former owner may still hold them.
@@ -238,6 +236,22 @@
         bool owner_terminated = false;
         /// Whether the owner has seen a higher fencing token, so that the range needs a new one.
         bool fence_conflict = false;
+        /// Whether the fencing token was given because the owner had seen a higher one.
+        bool follows_conflict = false;
+        /// Time at which the first append was sent that may be carried out and records when the owner's
+        /// grants expire; they are not renewed from then on.
+        std::optional<time_point> suspended_at;
+    };
+    /// A target of a keyed service that is or was registered.
+    struct known_target {
+        std::string service;
+        target_incarnation incarnation;
+        time_point registered_until{};
+    };
+    /// A claim of this instance.
+    struct sent_claim {
+        milliseconds log_time{0};
+        time_point sent_at{};
     };
     /// A grant order that has not completed.
     struct pending_grant {
@@ -246,10 +260,34 @@
     };
     using service_ranges = std::vector<managed_range>;
 
+    void note_era(time_point now, const ownership_view& view);
+    void note_targets(time_point now, const ownership_view& view);
+    void note_claim(const ownership_log& log) noexcept;
     void watch_coordinator(time_point now, const ownership_view& view,
                            std::vector<ownership_action>& actions);
-    [[nodiscard]] append_order::record claim_record(time_point now, const ownership_log& log,
-                                                    bool resigned = false) const;
+    [[nodiscard]] coordinator_claim make_claim(time_point now, const ownership_log& log) const;
+    /// Adds a claim to an append that is sent now.
+    void add_claim(time_point now, const coordinator_claim& claim, append_order& order);
+    /// Returns the log time of a record that is sent now, not before that of others who read this instance's
+    /// claim earlier than this instance learnt that it was appended.
+    [[nodiscard]] milliseconds log_time(time_point now, const ownership_log& log) const;
+    /// Returns whether the process named in the claim has been reported not to coordinate.
+    [[nodiscard]] bool is_reported_idle(const coordinator_claim& claim) const noexcept;
+    void note_reports(time_point now, const ownership_log& log);
+    /// Returns the time by which the grants of all earlier coordinators have expired.
+    /// @param silent_since time since which this instance knows of no record of a coordinator.
+    [[nodiscard]] time_point earlier_grants_expiry(time_point silent_since, const ownership_log& log) const;
+    [[nodiscard]] bool may_claim_at_once(const ownership_log& log) const;
+    [[nodiscard]] bool needs_sweep(const ownership_log& log) const;
+    [[nodiscard]] std::uint64_t fence_at(log_position position, std::int64_t origin) const;
+    void append_assignments(const ownership_log& log, append_order& order,
+                            std::optional<milliseconds> former_owners_from) const;
+    void plan_handover(time_point now, const ownership_view& view, append_order& order) const;
+    void plan_rewriting(time_point now, const ownership_log& log, append_order& order);
+    void plan_assignments(time_point now, const ownership_view& view, append_order& order);
+    /// Returns whether an owner has refused a fencing token that was given because of an earlier refusal.
+    [[nodiscard]] bool fences_are_too_low() const;
+    void sweep_holders(time_point now, const ownership_view& view, std::vector<ownership_action>& actions);
     void begin_term(time_point now, const ownership_view& view);
     void step_down();
     void resign(time_point now, const ownership_view& view, std::vector<ownership_action>& actions);
@@ -261,6 +299,10 @@
                                                              const owned_range& range,
                                                              const service_ranges& before,
                                                              bool first_reconcile) const;
+    /// Returns the time by which the grants have expired that the owner of a range has from before it was
+    /// assigned to the owner, or the epoch if there are none.
+    [[nodiscard]] static time_point latest_grant_expiry_of(const service_ranges& before,
+                                                           const owned_range& range);
     void plan(time_point now, const ownership_view& view, std::vector<ownership_action>& actions);
     [[nodiscard]] std::optional<assignment> plan_service(time_point now, const ownership_view& view,
                                                          const std::string& service, std::uint64_t fence);
@@ -268,18 +310,33 @@
                                                       const assignment& current,
                                                       const std::vector<balance_target>& targets);
     [[nodiscard]] double average_service_us(const ownership_view& view, const std::string& service) const;
+    /// Returns the targets that may be assigned keys.
+    /// @param ignore_suspended whether failed grants count only where they are renewed.
     [[nodiscard]] std::vector<balance_target> candidates(time_point now, const ownership_view& view,
-                                                         const std::string& service) const;
+                                                         const std::string& service,
+                                                         bool ignore_suspended) const;
     void send_orders(time_point now, std::vector<ownership_action>& actions);
     void complete_release(time_point now, managed_range& range, std::uint64_t id, order_status status,
                           const std::string& handover) const;
     void complete_grant(time_point now, managed_range& range, order_status status) const;
     void release_former(time_point now, managed_range& range, std::vector<ownership_action>& actions);
     /// Returns whether a target is known to have ended or its grants have failed for `failure_timeout`.
-    [[nodiscard]] bool is_unavailable(time_point now, const std::string& service,
-                                      std::string_view target) const;
+    /// @param ignore_suspended whether failed grants count only where they are renewed.
+    [[nodiscard]] bool is_unavailable(time_point now, const std::string& service, std::string_view target,
+                                      bool ignore_suspended) const;
     [[nodiscard]] bool is_failing(time_point now, const managed_range& range) const;
     [[nodiscard]] bool has_pending_grant(std::string_view target, key_range keys) const;
+    /// Returns whether a target that owns a range is gone or can't be reached, so that its grants for it need
+    /// not be renewed until another owner is recorded.
+    [[nodiscard]] bool is_lost(time_point now, const ownership_view& view, const managed_range& range) const;
+    /// Suspends the renewal of the grants of lost owners for keys that are assigned to other targets.
+    void suspend_renewals(time_point now, const ownership_view& view, service_ranges& ranges,
+                          const std::vector<balance_move>& moves) const;
+    /// Returns the time after which all grants of a target for keys have expired, counted from now, or
+    /// nothing if they may still be renewed.
+    [[nodiscard]] static std::optional<milliseconds> grants_left(time_point now, const service_ranges& ranges,
+                                                                 key_range keys,
+                                                                 const target_incarnation& target);
     /// Returns the maximum time from the append of a record until every grant has expired that was sent by a
     /// coordinator unaware of the record.
     [[nodiscard]] milliseconds max_stale_authority() const noexcept;
@@ -294,15 +351,30 @@
     coordinator_claim self_;
     ownership_timing timing_;
     milliseconds jitter_;
+    ownership_guards guards_;
     bool is_coordinator_ = false;
     bool targets_reachable_ = true;
+    /// Whether the process is about to end.
+    bool hands_over_ = false;
     /// Whether this instance has resigned since its last successful claim.
     bool resigned_ = false;
-    std::uint64_t term_ = 0;
-    /// Time at which the last record before this term was read.
-    time_point predecessor_last_record_at_{};
-    /// Time by which the grants of all earlier coordinators have expired.
-    time_point predecessor_grants_expire_at_{};
+    log_position term_;
+    /// Fencing token of the term.
+    std::uint64_t term_fence_ = 0;
+    /// Latest era of the store that was noticed, and the time of the notice.
+    std::optional<std::uint64_t> noticed_era_;
+    time_point era_noticed_at_{};
+    /// Whether no other instance can have claimed the role before the latest era was noticed.
+    bool continuous_ = true;
+    holder_sweep sweep_;
+    /// Time by which the grants of all earlier coordinators have expired, also of those whose records were
+    /// lost.
+    time_point earlier_grants_expire_at_{};
+    /// Claim that this instance last sent, and the one that the log had last.
+    sent_claim last_claim_;
+    sent_claim appended_claim_;
+    /// Log time at which this term began.
+    milliseconds term_began_{0};
     time_point authority_until_{};
     time_point first_tick_{};
     time_point last_tick_{};
@@ -310,14 +382,24 @@
     /// reports that this session does not coordinate.
     std::uint64_t reported_session_ = 0;
     unsigned not_coordinator_reports_ = 0;
+    /// Whether that session has been reported to have ended.
+    bool reported_ended_ = false;
+    /// Term of the claim that the reports concern.
+    log_position reported_term_;
+    /// Times since which the process named in the claim has been reported not to coordinate, and to have
+    /// ended.
+    std::optional<time_point> reported_idle_since_;
+    std::optional<time_point> reported_ended_since_;
     bool append_pending_ = false;
     time_point append_sent_{};
+    /// Time at which the last successful append of this term after its claim was sent.
+    std::optional<time_point> confirmed_append_sent_;
     time_point last_append_{};
     /// If set, the next append waits until a read of the log sent after this time has completed: an earlier
     /// append did not succeed, or its outcome is unknown.
     std::optional<time_point> reread_after_;
     /// Position of the log at the last reconciliation of the managed ranges.
-    std::uint64_t reconciled_position_ = 0;
+    log_position reconciled_position_;
     /// Whether the next reconciliation is the first of the term; it must allow for grants of earlier
     /// coordinators.
     bool first_reconcile_ = false;
@@ -328,6 +410,10 @@
     std::map<std::string, service_ranges, std::less<>> ranges_;
     std::map<std::string, service_load, std::less<>> loads_;
     std::map<std::string, target_speed, std::less<>> speeds_;
+    /// Targets by the name of the incarnation, from their registration until no grant can be left that they
+    /// received while they were registered.
+    std::map<std::string, known_target, std::less<>> known_targets_;
+    time_point targets_noted_at_{};
 };
 
 } // namespace teaseltally
--- a/include/teaseltally/teaseltally.hpp
+++ b/include/teaseltally/teaseltally.hpp
@@ -41,12 +41,14 @@
 
 #include <teaseltally/routing/route_table.hpp>
 
+#include <teaseltally/knowledge/log_position.hpp>
 #include <teaseltally/knowledge/record_stream.hpp>
 #include <teaseltally/knowledge/registration_expiry_tracker.hpp>
 #include <teaseltally/knowledge/target_directory.hpp>
 
 #include <teaseltally/ownership/assignment.hpp>
 #include <teaseltally/ownership/balancer.hpp>
+#include <teaseltally/ownership/order_status.hpp>
 #include <teaseltally/ownership/range_manager.hpp>
 #include <teaseltally/ownership/target_speed.hpp>
 
--- a/src/admission/crash_quarantine.cpp
+++ b/src/admission/crash_quarantine.cpp
@@ -363,7 +363,30 @@
             missing.push_back(key);
     for (const auto& key : missing)
         set_report(key, {}, now);
-    std::erase_if(trials_, [&](const auto& trial) { return !keys.contains(trial_key(trial.first)); });
+    std::erase_if(trials_, [&](const auto& trial) {
+        const auto key = trial_key(trial.first);
+        return !keys.contains(key) && !changed_keys_.contains(key);
+    });
+}
+
+void crash_quarantine::on_trial_claimed(const crash_record& record, time_point now)
+{
+    apply(record, now);
+    if (const auto fingerprint = fingerprint_of_trial(record.key))
+        claimed_trials_.insert(*fingerprint);
+}
+
+std::size_t crash_quarantine::share_missing(const std::set<std::string, std::less<>>& keys)
+{
+    std::set<std::string> missing;
+    for (const auto& [key, reported] : reports_)
+        if (key.ends_with(key_separator + instance_) && !keys.contains(key))
+            missing.insert(key);
+    for (const auto fingerprint : claimed_trials_)
+        if (trials_.contains(fingerprint) && !keys.contains(trial_key(fingerprint)))
+            missing.insert(trial_key(fingerprint));
+    changed_keys_.insert(missing.begin(), missing.end());
+    return missing.size();
 }
 
 std::vector<crash_record> crash_quarantine::extract_changes()
@@ -398,6 +421,7 @@
             expired.push_back(trial_key(trial.first));
         return over;
     });
+    std::erase_if(claimed_trials_, [&](auto trial) { return !trials_.contains(trial); });
     for (const auto& [key, reported] : reports_)
         if (now - reported.reported_at >= settings_.lifetime)
             expired.push_back(key);
--- a/src/knowledge/target_directory.cpp
+++ b/src/knowledge/target_directory.cpp
@@ -1,44 +1,99 @@
 #include <teaseltally/knowledge/target_directory.hpp>
 
+#include <algorithm>
+
 namespace teaseltally {
+namespace {
+
+/// Returns whether an entry is of an earlier incarnation than a known one.
+bool is_earlier_start(std::int64_t start_unix_ms, std::int64_t known)
+{
+    return start_unix_ms != 0 && start_unix_ms < known;
+}
+
+} // namespace
+
+bool target_directory::is_outdated(const target_entry& entry, log_position position) const
+{
+    if (const auto found = entries_.find(entry.id); found != entries_.end()) {
+        const auto& known = found->second;
+        return known.start_unix_ms == entry.start_unix_ms
+                   ? entry.sequence < known.sequence
+                   : is_earlier_start(entry.start_unix_ms, known.start_unix_ms);
+    }
+    const auto found = removed_.find(entry.id);
+    if (found == removed_.end() || position.era == found->second.position.era)
+        return false;
+    const auto& known = found->second;
+    return known.start_unix_ms == entry.start_unix_ms
+               ? entry.sequence <= known.sequence
+               : is_earlier_start(entry.start_unix_ms, known.start_unix_ms);
+}
 
-bool target_directory::advance_offset(std::string_view id, std::uint64_t offset)
+bool target_directory::may_live(const target_entry& entry, log_position position) const
 {
-    auto found = offsets_.find(id);
-    if (found == offsets_.end()) {
-        offsets_.emplace(id, offset);
+    const auto found = removed_.find(entry.id);
+    return found != removed_.end() && is_outdated(entry, position) && !found->second.draining &&
+           found->second.start_unix_ms == entry.start_unix_ms;
+}
+
+directory_change target_directory::readmit(target_entry entry, log_position position)
+{
+    removed_.erase(entry.id);
+    return update(std::move(entry), position);
+}
+
+void target_directory::remember_removed(const target_entry& entry, log_position position)
+{
+    removed_.insert_or_assign(entry.id,
+                              removed_entry{entry.start_unix_ms, entry.sequence, entry.draining, position});
+    if (removed_.size() <= max_removed)
+        return;
+    const auto first =
+        std::ranges::min_element(removed_, {}, [](const auto& removed) { return removed.second.position; });
+    positions_.erase(first->first);
+    removed_.erase(first);
+}
+
+bool target_directory::advance_position(std::string_view id, log_position position)
+{
+    auto found = positions_.find(id);
+    if (found == positions_.end()) {
+        positions_.emplace(id, position);
         return true;
     }
-    if (offset < found->second)
+    if (position < found->second)
         return false;
-    found->second = offset;
+    found->second = position;
     return true;
 }
 
-directory_change target_directory::update(target_entry entry, std::uint64_t offset)
+directory_change target_directory::update(target_entry entry, log_position position)
 {
-    if (!advance_offset(entry.id, offset))
+    if (!advance_position(entry.id, position) || is_outdated(entry, position))
         return directory_change::none;
+    removed_.erase(entry.id);
     const auto found = entries_.find(entry.id);
     if (found == entries_.end()) {
         entries_.emplace(entry.id, entry);
         return directory_change::added;
     }
-    if (found->second.start_unix_ms == entry.start_unix_ms && entry.sequence < found->second.sequence)
-        return directory_change::none;
-    if (found->second.start_unix_ms > entry.start_unix_ms && entry.start_unix_ms != 0)
-        return directory_change::none;
     found->second = std::move(entry);
     return directory_change::updated;
 }
 
-directory_change target_directory::remove(std::string_view id, std::uint64_t offset)
+directory_change target_directory::remove(std::string_view id, log_position position)
 {
-    if (!advance_offset(id, offset))
+    if (!advance_position(id, position))
         return directory_change::none;
     const auto found = entries_.find(id);
-    if (found == entries_.end())
+    if (found == entries_.end()) {
+        // Removed in this era as well: a registration that follows is a new one.
+        if (const auto known = removed_.find(id); known != removed_.end())
+            known->second.position = position;
         return directory_change::none;
+    }
+    remember_removed(found->second, position);
     entries_.erase(found);
     return directory_change::removed;
 }
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -39,7 +39,8 @@
 
 http_failure make_failure(bool sent, const error_code& code)
 {
-    return {sent, code == beast::error::timeout, code.message()};
+    return {sent, code == beast::error::timeout, code.message(),
+            !sent && code == asio::error::connection_refused};
 }
 
 } // namespace
--- a/src/net/peer_feed.cpp
+++ b/src/net/peer_feed.cpp
@@ -3,6 +3,7 @@
 #include <teaseltally/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 
 namespace teaseltally {
 namespace {
@@ -17,6 +18,14 @@
 constexpr milliseconds max_ownership_age{2200};
 /// Value sent in place of the position of a stream that is not requested.
 constexpr auto unrequested_position = "unwanted";
+/// First era of a store. In a later one, an update that names no era may be of an earlier one.
+constexpr std::uint64_t first_era = 1;
+/// Header of a request with the eras of its positions, one for each, separated by commas. The positions stay
+/// plain numbers because earlier versions reject any other form.
+constexpr auto eras_header = "Stream-Eras";
+/// Member of an update with the records that are held back. Earlier versions ignore it, and so leave them
+/// out.
+constexpr auto held_back_records = "held_back";
 /// Number of streams that instances without the stream of crashes follow.
 constexpr std::size_t min_stream_count = 4;
 constexpr milliseconds reader_check_interval{1000};
@@ -35,47 +44,89 @@
 {
     Json::Value object;
     object["snapshot"] = delta.snapshot;
-    object["next"] = to_json(delta.next_offset);
+    object["next"] = to_json(delta.next.offset);
+    object["era"] = to_json(delta.next.era);
     object["age"] = Json::Value{static_cast<Json::Int64>(delta.age.count())};
     if (delta.outage_age)
         object["outage_age"] = Json::Value{static_cast<Json::Int64>(delta.outage_age->count())};
-    auto& records = object["records"] = Json::Value(Json::arrayValue);
+    object["records"] = Json::Value(Json::arrayValue);
     for (const auto& record : delta.records) {
         Json::Value row(Json::arrayValue);
-        row.append(to_json(record.offset));
+        row.append(to_json(record.position.offset));
         row.append(record.key);
         row.append(record.value ? Json::Value{*record.value} : Json::Value{});
-        records.append(row);
+        object[record.held_back ? held_back_records : "records"].append(row);
     }
     return object;
 }
 
-std::optional<stream_delta> decode_delta(const Json::Value& object)
+/// Parses records of an update.
+/// @param rows array of arrays: offset, key, and value or null.
+/// @param into receives the records.
+/// @returns false if the array is malformed.
+bool decode_records(const Json::Value& rows, std::uint64_t era, bool held_back,
+                    std::vector<stream_record>& into)
+{
+    for (const auto& row : rows) {
+        if (!row.isArray() || row.size() != 3 || !row[0].isUInt64() || !row[1].isString() ||
+            !(row[2].isNull() || row[2].isString()))
+            return false;
+        stream_record record{row[1].asString(), std::nullopt, {era, row[0].asUInt64()}, held_back};
+        if (row[2].isString())
+            record.value = row[2].asString();
+        into.push_back(std::move(record));
+    }
+    return true;
+}
+
+/// Parses an update.
+/// @param only_era era of an update that names none, from an instance that knows of no eras; nothing if such
+/// an update cannot be used.
+std::optional<stream_delta> decode_delta(const Json::Value& object, std::optional<std::uint64_t> only_era)
 {
     if (!object.isObject() || !object["snapshot"].isBool() || !object["next"].isUInt64() ||
         !object["age"].isInt64() || !object["records"].isArray())
         return std::nullopt;
+    const auto& named_era = object["era"];
+    const auto era = named_era.isUInt64() ? std::optional{named_era.asUInt64()} : only_era;
+    if (!era || !(named_era.isUInt64() || named_era.isNull()))
+        return std::nullopt;
     stream_delta delta;
     delta.snapshot = object["snapshot"].asBool();
-    delta.next_offset = object["next"].asUInt64();
+    delta.next = {*era, object["next"].asUInt64()};
     delta.age = milliseconds{std::max<std::int64_t>(object["age"].asInt64(), 0)};
     if (object["outage_age"].isInt64())
         delta.outage_age = milliseconds{std::max<std::int64_t>(object["outage_age"].asInt64(), 0)};
-    for (const auto& row : object["records"]) {
-        if (!row.isArray() || row.size() != 3 || !row[0].isUInt64() || !row[1].isString() ||
-            !(row[2].isNull() || row[2].isString()))
-            return std::nullopt;
-        stream_record record{row[1].asString(), std::nullopt, row[0].asUInt64()};
-        if (row[2].isString())
-            record.value = row[2].asString();
-        delta.records.push_back(std::move(record));
-    }
+    const auto& held_back = object[held_back_records];
+    if (!(held_back.isNull() || held_back.isArray()) ||
+        !decode_records(object["records"], *era, false, delta.records) ||
+        !decode_records(held_back, *era, true, delta.records))
+        return std::nullopt;
+    if (!held_back.empty())
+        std::ranges::stable_sort(delta.records, {}, &stream_record::position);
     return delta;
 }
 
-std::optional<std::uint64_t> position_from(const Json::Value& value)
+std::optional<log_position> position_from(const Json::Value& value, std::uint64_t era)
 {
-    return value.isUInt64() ? std::optional{value.asUInt64()} : std::nullopt;
+    return value.isUInt64() ? std::optional{log_position{era, value.asUInt64()}} : std::nullopt;
+}
+
+/// Parses the header `Stream-Eras`: decimal numbers, separated by commas.
+/// @returns the eras, or nothing if the text is malformed.
+std::optional<std::vector<std::uint64_t>> parse_eras(std::string_view text)
+{
+    std::vector<std::uint64_t> eras;
+    const auto* at = text.data();
+    const auto* const end = at + text.size();
+    while (true) {
+        const auto [rest, failed] = std::from_chars(at, end, eras.emplace_back());
+        if (failed != std::errc{} || (rest != end && *rest != ','))
+            return std::nullopt;
+        if (rest == end)
+            return eras;
+        at = rest + 1;
+    }
 }
 
 } // namespace
@@ -173,17 +224,41 @@
         if (single_stream && index_of(*single_stream) != kind)
             positions.append(unrequested_position);
         else
-            positions.append(stream.has_snapshot() ? to_json(stream.next_offset()) : Json::Value{});
+            positions.append(stream.has_snapshot() ? to_json(stream.next().offset) : Json::Value{});
     }
     return json_text(positions);
 }
 
+std::string peer_feed::encode_eras() const
+{
+    std::string eras;
+    for (const auto& stream : local_streams_)
+        eras += (eras.empty() ? "" : ",") + std::to_string(stream.next().era);
+    return eras;
+}
+
+std::optional<std::uint64_t> peer_feed::only_era() const
+{
+    std::optional<std::uint64_t> era;
+    for (const auto& stream : local_streams_) {
+        if (!stream.has_snapshot())
+            continue;
+        if (stream.era_changed() || (era && *era != stream.next().era))
+            return std::nullopt;
+        era = stream.next().era;
+    }
+    if (era > first_era)
+        return std::nullopt;
+    return era.value_or(0);
+}
+
 asio::awaitable<bool> peer_feed::follow_once(std::string address, std::optional<stream_kind> single_stream)
 {
     const auto endpoint = parse_endpoint(address);
     if (failure(endpoint) != nullptr)
         co_return false;
     auto request = make_request(boost::beast::http::verb::post, "/feed", encode_positions(single_stream));
+    request.set(eras_header, encode_eras());
     const auto deadline = boot_clock::now() + long_poll_timeout + response_margin;
     auto outcome = co_await client_.exchange(std::get<tcp_endpoint>(endpoint), std::move(request), deadline);
     const auto* response = std::get_if<http_response>(&outcome);
@@ -196,7 +271,7 @@
     for (std::size_t kind = 0; kind < stream_kind_count; ++kind) {
         if (single_stream && index_of(*single_stream) != kind)
             continue;
-        const auto delta = decode_delta((*deltas)[static_cast<Json::ArrayIndex>(kind)]);
+        const auto delta = decode_delta((*deltas)[static_cast<Json::ArrayIndex>(kind)], only_era());
         if (!delta)
             co_return false;
         handle_delta_(static_cast<stream_kind>(kind), *delta);
@@ -274,11 +349,20 @@
         co_return make_response(400, "expected a JSON array of " + std::to_string(min_stream_count) + " to " +
                                          std::to_string(stream_kind_count) + " positions, one per stream\n");
     const std::size_t position_count = positions->size();
-    std::array<std::optional<std::uint64_t>, stream_kind_count> from;
+    const auto named_eras = request.find(eras_header);
+    std::optional<std::vector<std::uint64_t>> eras;
+    if (named_eras != request.end()) {
+        eras = parse_eras(named_eras->value());
+        if (!eras || eras->size() != position_count)
+            co_return make_response(400, std::string{eras_header} + ": expected " +
+                                             std::to_string(position_count) +
+                                             " numbers, separated by commas\n");
+    }
+    std::array<std::optional<log_position>, stream_kind_count> from;
     std::array<bool, stream_kind_count> requested{};
     for (std::size_t kind = 0; kind < position_count; ++kind) {
         const auto& position = (*positions)[static_cast<Json::ArrayIndex>(kind)];
-        from[kind] = position_from(position);
+        from[kind] = position_from(position, eras ? (*eras)[kind] : local_streams_[kind].next().era);
         requested[kind] = !position.isString();
     }
     // An instance that has just started waits until it has every requested stream.
--- a/src/ownership/assignment.cpp
+++ b/src/ownership/assignment.cpp
@@ -10,8 +10,6 @@
 /// Index of the owner in the row of a range. Two elements for each former owner follow: its index in the
 /// table of incarnations and the log time of the reassignment.
 constexpr Json::ArrayIndex owner_field = 3;
-/// Number of assignment records whose read times are kept.
-constexpr std::size_t max_read_times = 4096;
 
 Json::Value to_json(const target_incarnation& incarnation)
 {
@@ -70,11 +68,29 @@
         const auto* incarnation = incarnation_at(row[index], incarnations);
         if (incarnation == nullptr || !row[index + 1].isInt64() || row[index + 1].asInt64() < 0)
             return std::nullopt;
-        range.former_owners.push_back({*incarnation, milliseconds{row[index + 1].asInt64()}});
+        range.former_owners.push_back({*incarnation, milliseconds{row[index + 1].asInt64()}, std::nullopt});
     }
     return range;
 }
 
+/// Decodes rows with the index of a range, that of one of its former owners, and the time in milliseconds
+/// from the reassignment by which the grants of that one have expired. Earlier builds write and read none.
+bool read_grants_left(const Json::Value& rows, std::vector<owned_range>& ranges)
+{
+    if (!rows.isArray())
+        return rows.isNull();
+    for (const auto& row : rows) {
+        if (!row.isArray() || row.size() != 3 || !row[0].isUInt() || !row[1].isUInt() || !row[2].isInt64() ||
+            row[0].asUInt() >= ranges.size() || row[2].asInt64() < 0)
+            return false;
+        auto& former_owners = ranges[row[0].asUInt()].former_owners;
+        if (row[1].asUInt() >= former_owners.size())
+            return false;
+        former_owners[row[1].asUInt()].grants_left = milliseconds{row[2].asInt64()};
+    }
+    return true;
+}
+
 /// Table of the incarnations in an assignment, in which each occurs once.
 class incarnation_index {
 public:
@@ -98,6 +114,24 @@
     incarnation_table incarnations_;
 };
 
+bool is_set(const Json::Value& flag)
+{
+    return flag.isBool() && flag.asBool();
+}
+
+/// Records of builds that knew no eras have none.
+bool has_valid_era(const Json::Value& object)
+{
+    return !object.isMember("era") || object["era"].isUInt64();
+}
+
+std::optional<std::uint64_t> era_of(const Json::Value& object)
+{
+    if (!object.isMember("era"))
+        return std::nullopt;
+    return object["era"].asUInt64();
+}
+
 error malformed(std::string message)
 {
     return {result_code::message_malformed, std::move(message), "ownership log"};
@@ -127,15 +161,19 @@
             std::ranges::find(assigned.former_owners, former.incarnation, &former_owner::incarnation);
         if (existing == assigned.former_owners.end())
             assigned.former_owners.push_back(former);
-        else
+        else {
             existing->reassigned_at = std::max(existing->reassigned_at, former.reassigned_at);
+            existing->grants_left = existing->grants_left && former.grants_left
+                                        ? std::max(existing->grants_left, former.grants_left)
+                                        : std::nullopt;
+        }
     };
     for (const auto& range : ranges_) {
         if (!range.keys.overlaps(keys)) {
             next.push_back(range);
             continue;
         }
-        add_former({range.owner, log_time});
+        add_former({range.owner, log_time, std::nullopt});
         std::ranges::for_each(range.former_owners, add_former);
         if (range.keys.first < keys.first) {
             next.push_back(range);
@@ -151,29 +189,57 @@
     ranges_ = std::move(next);
 }
 
-std::string encode(const assignment& value)
+void assignment::restart_former_owners(milliseconds log_time)
+{
+    for (auto& range : ranges_)
+        for (auto& former : range.former_owners)
+            former.reassigned_at = log_time;
+}
+
+std::string encode(const assignment& value, std::optional<std::uint64_t> era)
 {
     incarnation_index incarnations;
     Json::Value rows(Json::arrayValue);
+    Json::Value grants_left(Json::arrayValue);
     for (const auto& range : value.ranges()) {
         Json::Value row(Json::arrayValue);
         row.append(range.keys.first);
         row.append(range.keys.last);
         row.append(teaseltally::to_json(range.fence));
         row.append(incarnations.index_of(range.owner));
-        for (const auto& [incarnation, reassigned_at] : range.former_owners) {
-            row.append(incarnations.index_of(incarnation));
-            row.append(Json::Value{static_cast<Json::Int64>(reassigned_at.count())});
+        for (Json::ArrayIndex index = 0; index < range.former_owners.size(); ++index) {
+            const auto& former = range.former_owners[index];
+            row.append(incarnations.index_of(former.incarnation));
+            row.append(Json::Value{static_cast<Json::Int64>(former.reassigned_at.count())});
+            if (!former.grants_left)
+                continue;
+            Json::Value left(Json::arrayValue);
+            left.append(rows.size());
+            left.append(index);
+            left.append(Json::Value{static_cast<Json::Int64>(former.grants_left->count())});
+            grants_left.append(left);
         }
         rows.append(row);
     }
     Json::Value object;
     object["targets"] = incarnations.rows();
     object["ranges"] = rows;
+    if (!grants_left.empty())
+        object["grants_left"] = grants_left;
+    if (era)
+        object["era"] = teaseltally::to_json(*era);
     return json_text(object);
 }
 
 result<assignment> decode_assignment(std::string_view text)
+{
+    auto decoded = decode_assignment_record(text);
+    if (const auto* problem = failure(decoded))
+        return *problem;
+    return std::get<assignment_record>(std::move(decoded)).value;
+}
+
+result<assignment_record> decode_assignment_record(std::string_view text)
 {
     auto parsed = parse_json(text, "ownership log");
     if (const auto* problem = failure(parsed))
@@ -184,6 +250,8 @@
     const auto incarnations = incarnations_from(object["targets"]);
     if (!incarnations)
         return malformed("assignment has no valid array \"targets\" of [id, start time, address]");
+    if (!has_valid_era(object))
+        return malformed("assignment has an \"era\" that is not an unsigned number");
     std::vector<owned_range> ranges;
     for (const auto& row : object["ranges"]) {
         auto range = range_from(row, *incarnations);
@@ -195,7 +263,9 @@
             return malformed("range " + std::to_string(ranges.size()) + " overlaps the previous range");
         ranges.push_back(std::move(*range));
     }
-    return assignment(std::move(ranges));
+    if (!read_grants_left(object["grants_left"], ranges))
+        return malformed("assignment has a \"grants_left\" with other rows than [range, former owner, time]");
+    return assignment_record{assignment(std::move(ranges)), era_of(object)};
 }
 
 std::string encode(const coordinator_claim& value)
@@ -207,6 +277,14 @@
     object["elapsed"] = Json::Value{static_cast<Json::Int64>(value.log_time.count())};
     if (value.resigned)
         object["resigned"] = true;
+    if (value.era)
+        object["era"] = teaseltally::to_json(*value.era);
+    if (value.fence_origin)
+        object["fence_origin"] = Json::Value{static_cast<Json::Int64>(*value.fence_origin)};
+    if (value.unsettled)
+        object["unsettled"] = true;
+    if (value.began)
+        object["began"] = Json::Value{static_cast<Json::Int64>(value.began->count())};
     return json_text(object);
 }
 
@@ -221,65 +299,23 @@
         return malformed(
             "coordinator claim lacks a valid \"instance\", \"session\", \"address\" or \"elapsed\": " +
             json_text(object));
-    return coordinator_claim{object["instance"].asString(), object["session"].asUInt64(),
-                             object["address"].asString(), milliseconds{object["elapsed"].asInt64()},
-                             object["resigned"].isBool() && object["resigned"].asBool()};
-}
-
-std::optional<error> ownership_log::apply(time_point now, std::string_view key, std::string_view value,
-                                          std::uint64_t offset)
-{
-    auto& next_offset = next_offsets_[std::string{key}];
-    const bool repeated = next_offset != 0 && offset + 1 <= next_offset;
-    position_ = std::max(position_, offset + 1);
-    if (repeated)
-        return std::nullopt;
-    next_offset = offset + 1;
-    last_record_at_ = now;
-    if (key == claim_key) {
-        auto decoded = decode_claim(value);
-        if (const auto* problem = failure(decoded))
-            return *problem;
-        auto& claim = std::get<coordinator_claim>(decoded);
-        if (!claim_ || claim_->resigned || claim_->session != claim.session)
-            term_ = offset;
-        claim_ = std::move(claim);
-        claim_read_at_ = now;
-        return std::nullopt;
-    }
-    if (!key.starts_with(service_prefix))
-        return std::nullopt;
-    auto decoded = decode_assignment(value);
-    if (const auto* problem = failure(decoded))
-        return *problem;
-    read_times_.emplace(offset, now);
-    if (read_times_.size() > max_read_times)
-        read_times_.erase(read_times_.begin());
-    services_[std::string{key.substr(service_prefix.size())}] = std::get<assignment>(std::move(decoded));
-    return std::nullopt;
-}
-
-time_point ownership_log::latest_reassignment_time(const owned_range& range, const former_owner& former) const
-{
-    const auto found = read_times_.lower_bound(range.fence);
-    const auto read_at = found == read_times_.end() ? last_record_at_ : found->second;
-    if (!claim_ || claim_->log_time <= former.reassigned_at)
-        return read_at;
-    return std::min<time_point>(read_at, claim_read_at_ - (claim_->log_time - former.reassigned_at));
-}
-
-milliseconds ownership_log::log_time(time_point now) const noexcept
-{
-    if (!claim_)
-        return milliseconds{0};
-    const auto since_claim = std::chrono::duration_cast<milliseconds>(now - claim_read_at_);
-    return claim_->log_time + since_claim - since_claim / clock_error_divisor;
-}
-
-const assignment* ownership_log::find(std::string_view service) const
-{
-    const auto found = services_.find(service);
-    return found == services_.end() ? nullptr : &found->second;
+    if (!has_valid_era(object) || (object.isMember("fence_origin") && !object["fence_origin"].isInt64()))
+        return malformed("coordinator claim has an invalid \"era\" or \"fence_origin\": " +
+                         json_text(object));
+    if (object.isMember("began") && (!object["began"].isInt64() || object["began"].asInt64() < 0 ||
+                                     object["began"].asInt64() > object["elapsed"].asInt64()))
+        return malformed("coordinator claim has a \"began\" that is not from 0 to \"elapsed\": " +
+                         json_text(object));
+    coordinator_claim claim{object["instance"].asString(), object["session"].asUInt64(),
+                            object["address"].asString(), milliseconds{object["elapsed"].asInt64()},
+                            is_set(object["resigned"])};
+    claim.era = era_of(object);
+    if (object.isMember("fence_origin"))
+        claim.fence_origin = object["fence_origin"].asInt64();
+    claim.unsettled = is_set(object["unsettled"]);
+    if (object.isMember("began"))
+        claim.began = milliseconds{object["began"].asInt64()};
+    return claim;
 }
 
 } // namespace teaseltally
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -11,9 +11,6 @@
 /// Service time assumed while that of no target is known.
 constexpr double default_service_us = 200'000;
 constexpr double us_per_s = 1e6;
-/// Another instance takes over without waiting for `takeover_timeout` after this number of consecutive
-/// reports that the process named in the claim does not coordinate.
-constexpr unsigned reports_to_take_over = 2;
 
 /// Returns the keys that two overlapping ranges have in common.
 key_range overlap_of(key_range left, key_range right)
@@ -37,12 +34,15 @@
     found->second.long_term.add(key, requests);
 }
 
-void range_manager::record_coordinator_report(std::uint64_t session, bool is_coordinator)
+void range_manager::record_coordinator_report(std::uint64_t session, coordinator_report report)
 {
-    if (is_coordinator || session != reported_session_)
+    if (report == coordinator_report::coordinates || session != reported_session_) {
         not_coordinator_reports_ = 0;
+        reported_ended_ = false;
+    }
     reported_session_ = session;
-    if (!is_coordinator)
+    reported_ended_ = reported_ended_ || report == coordinator_report::ended;
+    if (report != coordinator_report::coordinates)
         ++not_coordinator_reports_;
 }
 
@@ -69,11 +69,15 @@
             speed.tick(now, entry->slots);
     if (reread_after_ && view.last_read_sent_at > *reread_after_)
         reread_after_.reset();
+    note_era(now, view);
+    note_targets(now, view);
+    note_claim(view.log);
     if (!is_coordinator_) {
         watch_coordinator(now, view, actions);
         return actions;
     }
-    if (!append_pending_ && view.log.claim() && view.log.claim()->session != self_.session) {
+    const bool succeeded = view.log.claim() && view.log.claim()->session != self_.session;
+    if (!append_pending_ && (succeeded || (view.log.begins_era() && !continuous_))) {
         step_down();
         return actions;
     }
@@ -85,92 +89,11 @@
         reconcile(now, view);
     if (!append_pending_ && !reread_after_)
         plan(now, view, actions);
-    if (now < authority_until_)
+    if (now < authority_until_) {
+        sweep_holders(now, view, actions);
         send_orders(now, actions);
-    return actions;
-}
-
-void range_manager::watch_coordinator(time_point now, const ownership_view& view,
-                                      std::vector<ownership_action>& actions)
-{
-    if (append_pending_ || reread_after_ || !targets_reachable_ ||
-        now - view.last_read_sent_at > timing_.heartbeat_interval * 2)
-        return;
-    const auto& claim = view.log.claim();
-    if (claim && claim->session == self_.session && !claim->resigned && !resigned_) {
-        begin_term(now, view);
-        return;
     }
-    const auto silent_since = std::max(first_tick_, view.log.last_record_at());
-    const bool no_coordinator =
-        !claim || claim->resigned || claim->session == self_.session ||
-        (claim->session == reported_session_ && not_coordinator_reports_ >= reports_to_take_over);
-    const auto silence_limit = no_coordinator ? jitter_ : timing_.takeover_timeout + jitter_;
-    if (now - silent_since < silence_limit)
-        return;
-    append_pending_ = true;
-    predecessor_last_record_at_ = silent_since;
-    append_sent_ = now;
-    append_order order;
-    order.records.push_back(claim_record(now, view.log));
-    order.expected_end = view.log.position();
-    actions.push_back(std::move(order));
-}
-
-append_order::record range_manager::claim_record(time_point now, const ownership_log& log,
-                                                 bool resigned) const
-{
-    auto claim = self_;
-    claim.resigned = resigned;
-    claim.log_time = log.log_time(now);
-    return {std::string{ownership_log::claim_key}, encode(claim)};
-}
-
-void range_manager::begin_term(time_point now, const ownership_view& view)
-{
-    is_coordinator_ = true;
-    term_ = view.log.term();
-    authority_until_ = append_sent_ + timing_.authority_duration;
-    predecessor_grants_expire_at_ = predecessor_last_record_at_ + max_stale_authority();
-    last_append_ = now;
-    ranges_.clear();
-    first_reconcile_ = true;
-    reconciled_position_ = 0;
-}
-
-milliseconds range_manager::max_stale_authority() const noexcept
-{
-    return timing_.authority_duration + timing_.order_timeout + max_grant_lifetime();
-}
-
-void range_manager::step_down()
-{
-    is_coordinator_ = false;
-    ranges_.clear();
-    authority_until_ = {};
-}
-
-void range_manager::resign(time_point now, const ownership_view& view, std::vector<ownership_action>& actions)
-{
-    step_down();
-    resigned_ = true;
-    append_pending_ = true;
-    append_order order;
-    order.records.push_back(claim_record(now, view.log, true));
-    order.expected_end = view.log.position();
-    actions.push_back(std::move(order));
-}
-
-void range_manager::on_append_completed(time_point now, append_status status)
-{
-    append_pending_ = false;
-    if (status == append_status::done) {
-        resigned_ = false;
-        authority_until_ = std::max(authority_until_, append_sent_ + timing_.authority_duration);
-        last_append_ = now;
-        return;
-    }
-    reread_after_ = now;
+    return actions;
 }
 
 void range_manager::reconcile(time_point now, const ownership_view& view)
@@ -203,9 +126,13 @@
         added.keys = range.keys;
         added.owner = range.owner;
         added.recorded_fence = range.fence;
-        added.fence = std::max(range.fence, term_);
+        added.fence = std::max(range.fence, term_fence_);
+        added.follows_conflict = std::ranges::any_of(before, [&](const managed_range& old) {
+            return old.fence_conflict && old.keys.overlaps(range.keys) && old.owner == range.owner;
+        });
         added.former_grants = former_grants_of(log, range, before, first_reconcile);
-        added.latest_grant_expiry = first_reconcile ? predecessor_grants_expire_at_ : time_point{};
+        added.latest_grant_expiry =
+            first_reconcile ? earlier_grants_expire_at_ : latest_grant_expiry_of(before, range);
         added.next_grant_at = now;
         next.push_back(std::move(added));
     }
@@ -222,7 +149,9 @@
         for (const auto& earlier : range.former_owners)
             former.push_back({earlier.incarnation,
                               range.keys,
-                              log.latest_reassignment_time(range, earlier) + max_stale_authority(),
+                              std::min(log.latest_reassignment_time(range, earlier) +
+                                           earlier.grants_left.value_or(max_stale_authority()),
+                                       earlier_grants_expire_at_),
                               0,
                               {},
                               false});
@@ -248,11 +177,29 @@
     return former;
 }
 
-bool range_manager::is_unavailable(time_point now, const std::string& service, std::string_view target) const
+time_point range_manager::latest_grant_expiry_of(const service_ranges& before, const owned_range& range)
+{
+    time_point latest{};
+    for (const auto& old : before) {
+        if (!old.keys.overlaps(range.keys))
+            continue;
+        if (same_incarnation(old.owner, range.owner))
+            latest = std::max(latest, old.latest_grant_expiry);
+        for (const auto& earlier : old.former_grants)
+            if (!earlier.ended && same_incarnation(earlier.incarnation, range.owner))
+                latest = std::max(latest, earlier.expires_by);
+    }
+    return latest;
+}
+
+bool range_manager::is_unavailable(time_point now, const std::string& service, std::string_view target,
+                                   bool ignore_suspended) const
 {
     const auto found = ranges_.find(service);
     return found != ranges_.end() && std::ranges::any_of(found->second, [&](const managed_range& range) {
-               return range.owner.id == target && (range.owner_terminated || is_failing(now, range));
+               return range.owner.id == target &&
+                      (range.owner_terminated ||
+                       (is_failing(now, range) && !(ignore_suspended && range.suspended_at)));
            });
 }
 
@@ -272,14 +219,14 @@
 }
 
 std::vector<balance_target> range_manager::candidates(time_point now, const ownership_view& view,
-                                                      const std::string& service) const
+                                                      const std::string& service, bool ignore_suspended) const
 {
     const auto average_us = average_service_us(view, service);
     std::vector<balance_target> targets;
     for (const auto& [id, entry] : view.directory.entries()) {
         if (entry.service != service || view.is_leaving(entry))
             continue;
-        if (is_unavailable(now, service, id))
+        if (is_unavailable(now, service, id, ignore_suspended))
             continue;
         const auto speed = speeds_.find(id);
         const auto service_time = speed == speeds_.end() ? std::nullopt : speed->second.service_time();
@@ -297,23 +244,26 @@
 std::optional<assignment> range_manager::plan_service(time_point now, const ownership_view& view,
                                                       const std::string& service, std::uint64_t fence)
 {
-    const auto targets = candidates(now, view, service);
+    auto targets = candidates(now, view, service, false);
+    // Nothing else would show that a target is reached again whose grants are not renewed.
+    if (targets.empty())
+        targets = candidates(now, view, service, true);
     if (targets.empty())
         return std::nullopt;
     const auto* committed = view.log.find(service);
     assignment next = committed == nullptr ? assignment{} : *committed;
-    const auto& managed = ranges_[service];
+    auto& managed = ranges_[service];
     const auto state_of = [&](const owned_range& range) {
-        const auto found = std::ranges::find_if(managed, [&](const managed_range& candidate) {
-            return candidate.keys.first == range.keys.first;
-        });
-        return found == managed.end() ? nullptr : &*found;
+        const auto found =
+            std::ranges::lower_bound(managed, range.keys.first, {},
+                                     [](const managed_range& candidate) { return candidate.keys.first; });
+        return found == managed.end() || found->keys.first != range.keys.first ? nullptr : &*found;
     };
     const auto needs_owner = [&](const owned_range& range) {
         const auto* entry = view.directory.find(range.owner.id);
         const auto* state = state_of(range);
-        if (state != nullptr &&
-            (state->owner_terminated || (is_failing(now, *state) && state->latest_grant_expiry < now)))
+        if (state != nullptr && (state->owner_terminated || state->suspended_at ||
+                                 (is_failing(now, *state) && state->latest_grant_expiry < now)))
             return true;
         if (entry == nullptr)
             return view.directory_complete;
@@ -340,13 +290,57 @@
     for (const auto& candidate : managed)
         if (candidate.fence_conflict)
             moves.push_back({candidate.keys, candidate.owner});
+    const auto moved_at = log_time(now, view.log);
     for (const auto& move : moves)
-        next.assign(move.keys, move.to, fence, view.log.log_time(now));
+        next.assign(move.keys, move.to, fence, moved_at);
     if (moves.empty() && !cleared)
         return std::nullopt;
+    suspend_renewals(now, view, managed, moves);
+    next.set_grants_left(fence, moved_at, [&](key_range keys, const target_incarnation& former) {
+        return grants_left(now, managed, keys, former);
+    });
     return next;
 }
 
+bool range_manager::is_lost(time_point now, const ownership_view& view, const managed_range& range) const
+{
+    if (range.owner_terminated || is_failing(now, range))
+        return true;
+    const auto* entry = view.directory.find(range.owner.id);
+    return entry == nullptr ? view.directory_complete : entry->start_unix_ms != range.owner.start_unix_ms;
+}
+
+void range_manager::suspend_renewals(time_point now, const ownership_view& view, service_ranges& ranges,
+                                     const std::vector<balance_move>& moves) const
+{
+    for (auto& range : ranges)
+        if (is_lost(now, view, range) && std::ranges::any_of(moves, [&](const balance_move& move) {
+                return move.keys.overlaps(range.keys) && !same_incarnation(move.to, range.owner);
+            }))
+            // An earlier append with the grants' end may still be carried out.
+            range.suspended_at = range.suspended_at.value_or(now);
+}
+
+std::optional<milliseconds> range_manager::grants_left(time_point now, const service_ranges& ranges,
+                                                       key_range keys, const target_incarnation& target)
+{
+    auto expires_by = now;
+    for (const auto& range : ranges) {
+        if (!range.keys.overlaps(keys))
+            continue;
+        if (same_incarnation(range.owner, target)) {
+            if (!range.suspended_at)
+                return std::nullopt;
+            if (!range.owner_terminated)
+                expires_by = std::max(expires_by, range.latest_grant_expiry);
+        }
+        for (const auto& grant : range.former_grants)
+            if (!grant.ended && same_incarnation(grant.incarnation, target))
+                expires_by = std::max(expires_by, grant.expires_by);
+    }
+    return std::chrono::ceil<milliseconds>(expires_by - now);
+}
+
 std::vector<balance_move> range_manager::rebalance(time_point now, const std::string& service,
                                                    const assignment& current,
                                                    const std::vector<balance_target>& targets)
@@ -367,15 +361,12 @@
 {
     append_order order;
     order.expected_end = view.log.position();
-    for (const auto& service : view.keyed_services) {
-        const auto fence = order.expected_end + order.records.size();
-        if (const auto next = plan_service(now, view, service, fence))
-            order.records.push_back({std::string{ownership_log::service_prefix} + service, encode(*next)});
-    }
-    if (now >= next_balance_at_)
-        next_balance_at_ = now + timing_.balance_interval;
-    if (order.records.empty() && now - last_append_ >= timing_.heartbeat_interval)
-        order.records.push_back(claim_record(now, view.log));
+    if (view.log.begins_era())
+        plan_rewriting(now, view.log, order);
+    else if (hands_over_)
+        plan_handover(now, view, order);
+    else
+        plan_assignments(now, view, order);
     if (order.records.empty())
         return;
     append_pending_ = true;
@@ -383,6 +374,41 @@
     actions.push_back(std::move(order));
 }
 
+void range_manager::plan_assignments(time_point now, const ownership_view& view, append_order& order)
+{
+    auto claim = make_claim(now, view.log);
+    const bool settles = view.log.claim()->unsettled && !claim.unsettled;
+    const bool raises_fences = fences_are_too_low();
+    if (raises_fences)
+        --*claim.fence_origin;
+    if (raises_fences || settles)
+        add_claim(now, claim, order);
+    for (const auto& service : view.keyed_services) {
+        const auto position = order.expected_end.after(order.records.size());
+        const auto fence = fence_at(position, *claim.fence_origin);
+        const auto next = plan_service(now, view, service, fence);
+        const auto* current = view.log.is_shadowed(service) ? view.log.find(service) : nullptr;
+        if (next || current != nullptr)
+            order.records.push_back({std::string{ownership_log::service_prefix} + service,
+                                     encode(next ? *next : *current, order.expected_end.era)});
+    }
+    if (now >= next_balance_at_)
+        next_balance_at_ = now + timing_.balance_interval;
+    if (order.records.empty() && now - last_append_ >= timing_.heartbeat_interval)
+        add_claim(now, claim, order);
+}
+
+bool range_manager::fences_are_too_low() const
+{
+    // A token given because of a refusal is above all that this log shows. One above those of records that
+    // were lost is needed.
+    return std::ranges::any_of(ranges_, [](const auto& service) {
+        return std::ranges::any_of(service.second, [](const managed_range& range) {
+            return range.fence_conflict && range.follows_conflict;
+        });
+    });
+}
+
 bool range_manager::is_failing(time_point now, const managed_range& range) const
 {
     return range.failing_since && now - *range.failing_since >= timing_.failure_timeout;
@@ -396,7 +422,7 @@
     const auto* owners = view.log.find(service);
     if (measured == loads_.end() || owners == nullptr)
         return result;
-    for (const auto& target : candidates(now, view, service)) {
+    for (const auto& target : candidates(now, view, service, false)) {
         owner_load owner{target.incarnation.id, 0, target.capacity};
         for (const auto& range : owners->ranges())
             if (range.owner.id == owner.target)
--- a/src/ownership/range_orders.cpp
+++ b/src/ownership/range_orders.cpp
@@ -32,8 +32,12 @@
                 std::ranges::all_of(range.former_grants, [&](const former_grant& grant) {
                     return grant.ended || grant.expires_by < now;
                 });
-            if (!former_grants_ended || range.owner_terminated || range.pending_order != 0 ||
-                now < range.next_grant_at)
+            // A grant that is known to be in force is renewed also while a target that registered late is
+            // swept.
+            if (!former_grants_ended ||
+                (range.confirmed_until < now && !sweep_.is_free(now, service, range.owner, range.keys)) ||
+                range.owner_terminated || range.pending_order != 0 || now < range.next_grant_at ||
+                (range.suspended_at && guards_.renewals_suspended))
                 continue;
             range.pending_order = next_order_id_++;
             range.last_grant_sent_at = now;
@@ -51,6 +55,7 @@
                                        std::string handover)
 {
     pending_grants_.erase(id);
+    sweep_.on_order_completed(id, status, now + timing_.release_retry_delay);
     for (auto& [service, ranges] : ranges_) {
         for (auto& range : ranges) {
             complete_release(now, range, id, status, handover);
@@ -89,8 +94,10 @@
         range.confirmed_until = range.last_grant_sent_at + timing_.grant_duration;
         range.latest_grant_expiry = now + max_grant_lifetime();
         range.handover.clear();
+        range.follows_conflict = false;
         break;
     case order_status::not_sent:
+    case order_status::refused:
         range.latest_grant_expiry = range.previous_grant_expiry;
         break;
     case order_status::terminated:
--- a/tests/balancer_tests.cpp
+++ b/tests/balancer_tests.cpp
@@ -151,7 +151,7 @@
     const auto now = time_point{std::chrono::hours{1}};
     assignment current;
     current.assign({0, last_key}, {"t1", 0, "10.0.0.1:80"}, 1, {});
-    CHECK(!log.apply(now, "service/a", encode(current), 0));
+    CHECK(!log.apply(now, "service/a", encode(current), {}));
     const std::string targets = R"({"targets":[["a",0,"b"]],"ranges":)";
     for (const auto& bad :
          {std::string{}, std::string{"{"}, std::string{"[]"}, std::string{R"({"ranges":[]})"},
--- a/tests/crash_quarantine_tests.cpp
+++ b/tests/crash_quarantine_tests.cpp
@@ -55,6 +55,29 @@
     CHECK(quarantine.quarantine_time(innocent, at(300)).count() == 0);
 }
 
+// Guards against crashes that are forgotten when the store comes back from an older copy.
+TEST_CASE("an instance shares the records of its own again that a store lacks, once, and no others")
+{
+    auto quarantine = make_quarantine("x");
+    auto other = make_quarantine("y");
+    crash(quarantine, "t", {lethal}, at(0));
+    crash(quarantine, "u", {lethal}, at(0));
+    crash(other, "t", {lethal}, at(0));
+    share(other, quarantine, at(20));
+    quarantine.on_trial_claimed({"trial|7", "claimed"}, at(20));
+    quarantine.apply({"trial|8", "claimed"}, at(20));
+    static_cast<void>(quarantine.extract_changes());
+    CHECK(quarantine.share_missing({"u|x"}) == 2);
+    std::map<std::string, std::optional<std::string>> shared;
+    for (const auto& record : quarantine.extract_changes())
+        shared[record.key] = record.value;
+    CHECK(shared.size() == 2);
+    CHECK(shared["t|x"]);
+    CHECK(shared["trial|7"] == "claimed");
+    CHECK(quarantine.share_missing({"t|x", "u|x", "trial|7"}) == 0);
+    CHECK(quarantine.crashes(lethal) == 2);
+}
+
 // Guards against a quarantine of popular requests, of which many run on one target when it ends.
 TEST_CASE("a target that ended counts once, however many requests and instances lost it")
 {
@@ -285,6 +308,19 @@
     CHECK(second.extract_changes().size() == 1);
 }
 
+// Guards against a trial that is withdrawn because a second snapshot of a new era came before it was shared
+// again.
+TEST_CASE("a snapshot removes no trial that is to be shared again")
+{
+    auto quarantine = make_quarantine();
+    quarantine.on_trial_claimed({"trial|7", "claimed"}, at(0));
+    CHECK(quarantine.share_missing({}) == 1);
+    quarantine.retain({}, at(10));
+    const auto changes = quarantine.extract_changes();
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].value == "claimed");
+}
+
 TEST_CASE("reports are forgotten after their lifetime, and the removal is shared if requested")
 {
     for (const bool withdraw : {false, true}) {
--- a/tests/knowledge_tests.cpp
+++ b/tests/knowledge_tests.cpp
@@ -96,18 +96,18 @@
     auto leaving = ready;
     leaving.draining = true;
     leaving.sequence = 9;
-    CHECK(directory.update(ready, 10) == directory_change::added);
-    CHECK(directory.update(leaving, 12) == directory_change::updated);
-    CHECK(directory.update(ready, 11) == directory_change::none);
-    CHECK(directory.update(ready, 13) == directory_change::none);
+    CHECK(directory.update(ready, {0, 10}) == directory_change::added);
+    CHECK(directory.update(leaving, {0, 12}) == directory_change::updated);
+    CHECK(directory.update(ready, {0, 11}) == directory_change::none);
+    CHECK(directory.update(ready, {0, 13}) == directory_change::none);
     CHECK(directory.find("i1")->draining);
     auto restarted = ready;
     restarted.start_unix_ms = 1000;
     restarted.sequence = 1;
-    CHECK(directory.update(restarted, 14) == directory_change::updated);
+    CHECK(directory.update(restarted, {0, 14}) == directory_change::updated);
     CHECK(!directory.find("i1")->draining);
-    CHECK(directory.remove("i1", 13) == directory_change::none);
-    CHECK(directory.remove("i1", 15) == directory_change::removed);
+    CHECK(directory.remove("i1", {0, 13}) == directory_change::none);
+    CHECK(directory.remove("i1", {0, 15}) == directory_change::removed);
 }
 
 TEST_CASE("a follower that applies the updates of a stream has the same records as the source")
@@ -117,20 +117,20 @@
         record_stream follower;
         std::map<std::string, std::optional<std::string>> expected;
         std::map<std::string, std::optional<std::string>> actual;
-        source.apply_snapshot({}, 0);
+        source.apply_snapshot({}, {});
         std::uint64_t offset = 0;
         const auto follow = [&] {
             const auto delta = source.delta_since(
-                follower.has_snapshot() ? std::optional{follower.next_offset()} : std::nullopt, start);
-            if (delta.snapshot && follower.apply_snapshot(delta.records, delta.next_offset))
+                follower.has_snapshot() ? std::optional{follower.next()} : std::nullopt, start);
+            if (delta.snapshot && follower.apply_snapshot(delta.records, delta.next))
                 actual.clear();
             for (const auto& record : delta.records)
                 if (delta.snapshot || follower.apply(record, true))
                     actual[record.key] = record.value;
-            follower.mark_caught_up(start, delta.next_offset);
+            follower.mark_caught_up(start, delta.next);
         };
         for (const auto& [key, dropped] : writes) {
-            stream_record record{std::to_string(key % 5), std::nullopt, offset++};
+            stream_record record{std::to_string(key % 5), std::nullopt, {0, offset++}};
             if (!dropped)
                 record.value = std::to_string(offset);
             source.apply(record, true);
@@ -142,18 +142,18 @@
         std::erase_if(expected, [](const auto& item) { return !item.second; });
         std::erase_if(actual, [](const auto& item) { return !item.second; });
         RC_ASSERT(expected == actual);
-        RC_ASSERT(follower.next_offset() == offset);
+        RC_ASSERT((follower.next() == log_position{0, offset}));
     }));
 }
 
-TEST_CASE("the offset of a stream never decreases")
+TEST_CASE("the position of a stream never decreases")
 {
     record_stream stream;
-    CHECK(stream.apply_snapshot({{"a", "1", 4}}, 9));
-    CHECK(!stream.apply_snapshot({}, 8));
-    CHECK(!stream.apply({"a", "0", 8}, true));
-    stream.mark_caught_up(start, 7);
-    CHECK(stream.next_offset() == 9);
+    CHECK(stream.apply_snapshot({{"a", "1", {0, 4}}}, {0, 9}));
+    CHECK(!stream.apply_snapshot({}, {0, 8}));
+    CHECK(!stream.apply({"a", "0", {0, 8}}, true));
+    stream.mark_caught_up(start, {0, 7});
+    CHECK(stream.next() == log_position{0, 9});
 }
 
 // During an outage of the store, registrations expire although the targets still run. Such targets must be
@@ -193,9 +193,104 @@
 {
     target_directory directory;
     const target_entry entry{"i1", "s", "10.0.0.1:80", "a", 4, false, {}, 0, 7};
-    directory.update(entry, 10);
-    CHECK(directory.remove("i1", 12) == directory_change::removed);
+    directory.update(entry, {0, 10});
+    CHECK(directory.remove("i1", {0, 12}) == directory_change::removed);
     auto again = entry;
     again.sequence = 9;
-    CHECK(directory.update(again, 12) == directory_change::added);
+    CHECK(directory.update(again, {0, 12}) == directory_change::added);
+}
+
+// After a return of the store from an older copy, its end is lower, and offsets are given out again.
+TEST_CASE("records count only in the era of the last snapshot, and a snapshot of a newer era replaces")
+{
+    record_stream stream;
+    stream.apply_snapshot({{"a", "1", {0, 4}}, {"b", "1", {0, 5}}}, {0, 9});
+    stream.mark_caught_up(start, {0, 9});
+    CHECK(!stream.apply({"a", "2", {1, 12}}, true));
+    stream.mark_caught_up(start + milliseconds{1}, {1, 13});
+    CHECK(stream.next() == log_position{0, 9});
+    CHECK(stream.last_read_sent() == start);
+    CHECK(stream.find("a")->value == "1");
+    CHECK(!stream.era_changed());
+    const auto effect = stream.apply_snapshot({{"a", "3", {1, 2}}}, {1, 3});
+    CHECK(effect.applied);
+    CHECK(effect.dropped == 1);
+    CHECK(stream.era_changed());
+    CHECK(stream.find("a")->value == "3");
+    CHECK(stream.find("b") == nullptr);
+    CHECK(!stream.apply_snapshot({}, {0, 20}));
+    CHECK(!stream.apply({"a", "4", {0, 20}}, true));
+    stream.mark_caught_up(start + milliseconds{2}, {0, 20});
+    CHECK(stream.last_read_sent() == start);
+    CHECK(stream.apply({"a", "5", {1, 3}}, true));
+    // A follower of the older era gets a snapshot, and one of a newer era nothing.
+    CHECK(stream.has_changes_since(log_position{0, 20}));
+    CHECK(stream.delta_since(log_position{0, 20}, start).snapshot);
+    CHECK(!stream.has_changes_since(log_position{2, 0}));
+    CHECK(stream.delta_since(log_position{2, 0}, start).records.empty());
+}
+
+// Guards against a configuration that is undone by an older copy of the store, also at followers.
+TEST_CASE("known records stay where a snapshot is outdated or, if asked for, lacks them")
+{
+    record_stream stream;
+    stream.apply_snapshot({{"a", "2", {0, 4}}, {"b", "2", {0, 5}}, {"c", "2", {0, 6}}}, {0, 9});
+    CHECK(stream.skip({"a", "1", {0, 9}}));
+    CHECK(stream.find("a")->value == "2");
+    auto other = stream;
+    const std::vector<stream_record> copy{{"a", "1", {1, 2}}, {"b", "3", {1, 3}}, {"gone", "1", {1, 1}}};
+    CHECK(stream.apply_snapshot(copy, {1, 4}, {{"a", "gone"}, true}).kept == 3);
+    CHECK(*stream.find("a") == stream_record{"a", "2", {1, 2}});
+    CHECK(stream.find("b")->value == "3");
+    CHECK(stream.find("c")->position < stream.next());
+    CHECK(stream.delta_since(std::nullopt, start).records.size() == 3);
+    CHECK(other.apply_snapshot(copy, {1, 4}, {{"a", "gone"}, false}).dropped == 1);
+    CHECK(other.find("c") == nullptr);
+}
+
+// Guards against requests to a target that has left, whose entry an older copy of the store still has.
+TEST_CASE("an entry of a newer era brings a removed target back only if it has registered again")
+{
+    target_directory directory;
+    const target_entry left{"i1", "s", "10.0.0.1:80", "a", 4, false, {}, 1000, 7};
+    directory.update(left, {0, 10});
+    directory.remove("i1", {0, 12});
+    auto copied = left;
+    copied.sequence = 6;
+    for (const auto& outdated : {left, copied}) {
+        CHECK(directory.is_outdated(outdated, {1, 3}));
+        CHECK(directory.update(outdated, {1, 3}) == directory_change::none);
+        CHECK(directory.may_live(outdated, {1, 3}));
+        auto other = directory;
+        CHECK(other.readmit(outdated, {1, 3}) == directory_change::added);
+    }
+    auto removed_again = directory;
+    CHECK(removed_again.remove("i1", {1, 4}) == directory_change::none);
+    CHECK(removed_again.update(left, {1, 5}) == directory_change::added);
+    auto earlier = left;
+    earlier.start_unix_ms = 500;
+    CHECK(!directory.may_live(earlier, {1, 3}));
+    auto leaving = left;
+    leaving.draining = true;
+    target_directory other;
+    other.update(leaving, {0, 10});
+    other.remove("i1", {0, 12});
+    CHECK(other.is_outdated(left, {1, 3}));
+    CHECK(!other.may_live(left, {1, 3}));
+    auto again = left;
+    again.sequence = 8;
+    auto restarted = copied;
+    restarted.start_unix_ms = 2000;
+    for (const auto& newer : {again, restarted}) {
+        auto known = directory;
+        CHECK(!known.is_outdated(newer, {1, 3}));
+        CHECK(known.update(newer, {1, 3}) == directory_change::added);
+    }
+    for (std::size_t other = 0; other < target_directory::max_removed; ++other) {
+        auto entry = left;
+        entry.id = "other" + std::to_string(other);
+        directory.update(entry, {0, 20 + other});
+        directory.remove(entry.id, {0, 20 + other});
+    }
+    CHECK(!directory.is_outdated(left, {1, 3}));
 }
--- a/tests/peer_feed_tests.cpp
+++ b/tests/peer_feed_tests.cpp
@@ -27,8 +27,8 @@
                  [this](http_request request) { return feed.handle_request(std::move(request)); })
     {
         for (auto& stream : known) {
-            stream.apply_snapshot({{"k", "v", 3}}, 4);
-            stream.mark_caught_up(boot_clock::now(), 4);
+            stream.apply_snapshot({{"k", "v", {0, 3}}}, {0, 4});
+            stream.mark_caught_up(boot_clock::now(), {0, 4});
         }
     }
 
@@ -87,8 +87,8 @@
     CHECK(answered);
     REQUIRE(deltas.size() == 1);
     CHECK(deltas[0].snapshot);
-    CHECK(deltas[0].next_offset == 4);
-    CHECK(deltas[0].records == std::vector<stream_record>{{"k", "v", 3}});
+    CHECK(deltas[0].next == log_position{0, 4});
+    CHECK(deltas[0].records == std::vector<stream_record>{{"k", "v", {0, 3}}});
 }
 
 // When the followed instance fails, the streams would grow stale while the next instances are tried.
@@ -160,8 +160,8 @@
         peer_feed feed(io.get_executor(), client, {"m", "a", ""}, known,
                        [&](stream_kind kind, const stream_delta& delta) {
                            auto& stream = known[static_cast<std::size_t>(kind)];
-                           stream.apply_snapshot(delta.records, delta.next_offset);
-                           stream.mark_caught_up(boot_clock::now(), delta.next_offset);
+                           stream.apply_snapshot(delta.records, delta.next);
+                           stream.mark_caught_up(boot_clock::now(), delta.next);
                        });
         std::optional<std::string> followed_address;
         int feed_requests = 0;
@@ -213,6 +213,88 @@
         CHECK(delta["records"].size() == 1);
 }
 
+// Guards against an instance that reads on in the middle of records that it has never seen.
+TEST_CASE("a follower of an older era gets a snapshot, and the era of each position")
+{
+    asio::io_context io(1);
+    feeding_instance other(io);
+    for (auto& stream : other.known) {
+        stream.apply_snapshot({{"k", "w", {1, 1}}, {"l", "w", {1, 0}, true}, {"m", "w", {1, 0}, true}},
+                              {1, 2});
+        stream.confirm("m");
+        stream.mark_caught_up(boot_clock::now(), {1, 2});
+    }
+    peer_feed::streams known;
+    for (auto& stream : known)
+        stream.apply_snapshot({{"k", "v", {0, 3}}}, {0, 4});
+    http_client client(io.get_executor(), {});
+    std::vector<stream_delta> deltas;
+    peer_feed feed(io.get_executor(), client, {"z", "a", ""}, known,
+                   [&](stream_kind, const stream_delta& delta) { deltas.push_back(delta); });
+    run(io, [&]() -> asio::awaitable<void> {
+        co_await feed.follow_stream(member("x", other.server.local_endpoint()).address, stream_kind::targets);
+    });
+    REQUIRE(deltas.size() == 1);
+    CHECK(deltas[0].snapshot);
+    CHECK(deltas[0].next == log_position{1, 2});
+    // A record that is held back stays so at the follower, and an earlier version doesn't see it.
+    CHECK(deltas[0].records ==
+          std::vector<stream_record>{{"m", "w", {1, 0}}, {"l", "w", {1, 0}, true}, {"k", "w", {1, 1}}});
+}
+
+// Earlier versions name no era. Their updates are used unless they may be of an older one.
+TEST_CASE("without an era an update is of the only era there was, and a request of that of the local streams")
+{
+    asio::io_context io(1);
+    http_server earlier(io.get_executor(), any_port, {}, [](http_request) -> asio::awaitable<http_response> {
+        const std::string text = R"({"snapshot":true,"next":9,"age":0,"records":[[8,"k","v"]]})";
+        co_return make_response(200, "[" + text + "," + text + "," + text + "," + text + "," + text + "]");
+    });
+    peer_feed::streams known;
+    http_client client(io.get_executor(), {});
+    std::optional<log_position> received;
+    peer_feed feed(io.get_executor(), client, {"z", "a", ""}, known,
+                   [&](stream_kind, const stream_delta& delta) { received = delta.next; });
+    const auto follow = [&] {
+        received.reset();
+        run(io, [&]() -> asio::awaitable<void> {
+            static_cast<void>(co_await feed.follow_stream(member("x", earlier.local_endpoint()).address,
+                                                          stream_kind::targets));
+        });
+        return received;
+    };
+    CHECK(follow() == log_position{0, 9});
+    known[3].apply_snapshot({}, {1, 4});
+    CHECK(follow() == log_position{1, 9});
+    known[3].apply_snapshot({}, {2, 4});
+    CHECK(!follow());
+    // An instance that starts in a later era doesn't know the earlier one.
+    known[3] = record_stream{};
+    known[3].apply_snapshot({}, {2, 4});
+    CHECK(!follow());
+
+    feeding_instance other(io);
+    for (auto& stream : other.known)
+        stream.apply_snapshot({{"k", "w", {1, 1}}}, {1, 2});
+    const auto first_delta = [&](const char* eras) {
+        auto request = make_request(boost::beast::http::verb::post, "/feed", "[2,2,2,2,2]");
+        if (eras != nullptr)
+            request.set("Stream-Eras", eras);
+        std::optional<http_response> response;
+        run(io, [&]() -> asio::awaitable<void> {
+            response = co_await other.feed.handle_request(std::move(request));
+        });
+        return response->result_int() == 200
+                   ? std::get<Json::Value>(parse_json(response->body(), "response"))[0]
+                   : Json::Value{};
+    };
+    CHECK(!first_delta(nullptr)["snapshot"].asBool());
+    CHECK(!first_delta("1,1,1,1,1")["snapshot"].asBool());
+    CHECK(first_delta("0,1,1,1,1")["snapshot"].asBool());
+    for (const char* malformed : {"", "1,1,1,1", "1,1,1,1,x", "1,1,1,1,", "1,1,1,1,1,1"})
+        CHECK(first_delta(malformed).isNull());
+}
+
 // Guards against a dangling waiter when a follower closes its connection during a long poll.
 TEST_CASE("the request of a follower that disconnects is removed from the waiting requests")
 {
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -1,3 +1,4 @@
+#include "../platform/instance.hpp"
 #include "../platform/settings.hpp"
 #include "../platform/store_client.hpp"
 #include "../platform/target_orders.hpp"
@@ -6,6 +7,9 @@
 
 #include "support/run.hpp"
 
+#include <teaseltally/json.hpp>
+
+#include <boost/beast/core/detail/base64.hpp>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -22,6 +26,7 @@
 peer_address = 10.0.0.1:82
 [platform]
 address = 10.0.0.9:1
+heartbeat = 870ms
 bounds = config-apply=1500ms,grace=6s,retry-budget-ratio=0.25,budget-slack=56,unknown=1
 )";
 
@@ -54,6 +59,7 @@
     const auto& values = std::get<settings>(read);
     CHECK(values.configuration_apply_limit == milliseconds{1500});
     CHECK(values.stop_grace_period == milliseconds{6000});
+    CHECK(values.target_report_interval == milliseconds{870});
     CHECK(values.retry_ratio == doctest::Approx(0.25));
 }
 
@@ -198,16 +204,16 @@
     body += '\x09';
     body += std::string(8, '\0');
     body += encode_keyed_record("a", "one") + encode_keyed_record("bc", "");
-    const auto parsed = parse_log_page(body, 7);
+    const auto parsed = parse_log_page(body, {0, 7});
     REQUIRE(std::holds_alternative<keyed_page>(parsed));
     const auto& page = std::get<keyed_page>(parsed);
-    CHECK(page.end_offset == 9);
-    CHECK(page.next_offset == 9);
+    CHECK(page.end == log_position{0, 9});
+    CHECK(page.next == log_position{0, 9});
     REQUIRE(page.records.size() == 2);
-    CHECK(page.records[0] == stream_record{"a", "one", 7});
-    CHECK(page.records[1] == stream_record{"bc", std::nullopt, 8});
+    CHECK(page.records[0] == stream_record{"a", "one", {0, 7}});
+    CHECK(page.records[1] == stream_record{"bc", std::nullopt, {0, 8}});
     for (std::size_t cut = 1; cut < body.size(); ++cut) {
-        const auto shorter = parse_log_page(std::string_view{body}.substr(0, cut), 7);
+        const auto shorter = parse_log_page(std::string_view{body}.substr(0, cut), {0, 7});
         const auto* parsed_page = std::get_if<keyed_page>(&shorter);
         CHECK((parsed_page == nullptr || parsed_page->records.size() < 2));
     }
@@ -227,3 +233,123 @@
     CHECK(decode_base64("") == "");
     CHECK(!decode_base64("aGVs*G8="));
 }
+
+namespace {
+
+/// Store that can come back from an older copy.
+struct returning_store {
+    explicit returning_store(asio::io_context& io)
+        : server(io.get_executor(), test::any_port, {},
+                 [this](http_request request) { return answer(std::move(request)); })
+    {
+    }
+
+    asio::awaitable<http_response> answer(http_request request)
+    {
+        co_await sleep_for(milliseconds{20});
+        const std::string target = request.target();
+        const auto name_at = target.find("topic=") + 6;
+        auto& topic = topics[target.substr(name_at, target.find('&') - name_at)];
+        http_response response;
+        if (target.starts_with("/api/log-newest")) {
+            ++newest_reads;
+            Json::Value page;
+            page["end"] = to_json(topic.size());
+            page["items"] = Json::Value(Json::arrayValue);
+            for (const auto& [key, value] : topic) {
+                namespace base64 = boost::beast::detail::base64;
+                std::string encoded(base64::encoded_size(value.size()), ' ');
+                encoded.resize(base64::encode(encoded.data(), value.data(), value.size()));
+                auto& item = page["items"].append({});
+                item["key"] = key;
+                item["value"] = encoded;
+                item["offset"] = page["items"].size() - 1;
+            }
+            response = make_response(200, json_text(page));
+        }
+        else if (target.starts_with("/api/log-append")) {
+            const auto& body = request.body();
+            const auto key_size = static_cast<unsigned char>(body[4]);
+            response = make_response(200, "{\"offset\":" + std::to_string(topic.size()) + "}");
+            topic.emplace_back(body.substr(5, key_size), body.substr(5U + key_size));
+        }
+        else {
+            const auto from = std::stoul(target.substr(target.find("from=") + 5));
+            std::string body(16, '\0');
+            body[7] = static_cast<char>(topic.size());
+            for (auto offset = from; offset < topic.size(); ++offset)
+                body += encode_keyed_record(topic[offset].first, topic[offset].second);
+            response = make_response(from > topic.size() ? 410 : 200, body);
+        }
+        response.set("Store-Era", std::to_string(era));
+        co_return response;
+    }
+
+    std::uint64_t era = 1;
+    unsigned newest_reads = 0;
+    std::map<std::string, std::vector<std::pair<std::string, std::string>>> topics;
+    http_server server;
+};
+
+} // namespace
+
+// Guards the incident CONFIG: no configuration came into force after the store had come back from a copy.
+TEST_CASE("when the store comes back from an older copy, what an instance knows better stays, also for its "
+          "followers, what it wrote is written again, and new records take effect")
+{
+    std::vector<std::string> lines;
+    asio::io_context io;
+    returning_store store(io);
+    auto& configurations = store.topics["keyed.op"];
+    configurations = {{"config", valid_configuration}, {"config", valid_configuration}};
+    store.topics["keyed.servers"] = {{"i1", valid_target}, {"i2", valid_target}};
+    settings configured;
+    configured.instance = "x";
+    configured.data_centre = "a";
+    configured.caller_address = configured.readiness_address = "127.0.0.1:0";
+    const auto peer = test::fixed_endpoint(77);
+    configured.peer_address = peer.address().to_string() + ":" + std::to_string(peer.port());
+    configured.store_address = "127.0.0.1:" + std::to_string(store.server.local_endpoint().port());
+    // The coroutines of an instance end with the I/O context, so the instance has to outlive it.
+    static const instance* const tested =
+        std::make_unique<instance>(io.get_executor(), configured, 1, [&](const std::string& line) {
+            lines.push_back(line);
+        }).release();
+    REQUIRE(tested != nullptr);
+    const auto logged = [&](const std::string& first, const std::string& second) {
+        return std::ranges::count_if(lines, [&](const std::string& line) {
+            return line.find(first) != std::string::npos && line.find(second) != std::string::npos;
+        });
+    };
+    const auto wait_until = [&](auto condition) -> asio::awaitable<void> {
+        const auto until = boot_clock::now() + milliseconds{5000};
+        while (!condition() && boot_clock::now() < until)
+            co_await sleep_for(milliseconds{10});
+        CHECK(condition());
+    };
+    test::run(io, [&]() -> asio::awaitable<void> {
+        const auto& members = store.topics["keyed.members"];
+        co_await wait_until([&] { return logged("target=i2", "address") == 1 && !members.empty(); });
+        co_await wait_until([&] { return logged("event=configuration", "version=12") == 1; });
+        co_await sleep_for(milliseconds{700});
+        ++store.era;
+        store.newest_reads = 0;
+        configurations = {{"config", replace_text(valid_configuration, "0000000c", "0000000b")}};
+        store.topics["keyed.servers"] = {{"i1", valid_target}};
+        store.topics["keyed.members"].clear();
+        co_await wait_until([&] { return logged("store_era ", "new=2") == 5; });
+        CHECK(logged("store_era ", "stream=configuration kept=1 ") == 1);
+        CHECK(logged("target_gone", "") == 0);
+        co_await wait_until([&] { return logged("target_gone", "target=i2") == 1 && !members.empty(); });
+        CHECK(store.newest_reads <= 10);
+        http_client client(io.get_executor(), {});
+        auto request = make_request(boost::beast::http::verb::post, "/feed", "[null,null,null,null,null]");
+        const auto outcome =
+            co_await client.exchange(peer, std::move(request), boot_clock::now() + milliseconds{1000});
+        REQUIRE(std::holds_alternative<http_response>(outcome));
+        CHECK(std::get<http_response>(outcome).body().find("0000000c") != std::string::npos);
+        configurations.emplace_back("config", replace_text(valid_configuration, "0000000c", "0000000d"));
+        co_await wait_until([&] { return logged("event=configuration", "version=13") == 1; });
+    });
+    CHECK(logged("event=configuration", "version=11") == 0);
+}
--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -36,26 +36,38 @@
     {
         for (unsigned index = 1; index <= targets; ++index)
             directory.update({"t" + std::to_string(index), "ledger", "10.0.0.1:80", "a", 4, false, {}, 0, 1},
-                             1);
+                             {0, 1});
     }
 
     void step(milliseconds elapsed, order_status status)
     {
         now += elapsed;
-        for (auto& action : manager.tick(now, {log, directory, keyed, now, true, nullptr, &leaving})) {
+        for (auto& action :
+             manager.tick(now, {log, directory, keyed, last_read.value_or(now), true, nullptr, &leaving})) {
             if (const auto* append = std::get_if<append_order>(&action)) {
-                for (const auto& record : append->records)
-                    log.apply(now, record.key, record.value, log.position());
-                manager.on_append_completed(now, append_status::done);
+                if (append_outcome == append_status::done)
+                    for (const auto& record : append->records)
+                        log.apply(now, record.key, record.value, log.position());
+                manager.on_append_completed(now, append_outcome);
             }
             else if (const auto* grant = std::get_if<grant_order>(&action)) {
                 grants.push_back(*grant);
-                manager.on_order_completed(now, grant->id, status, {});
+                manager.on_order_completed(now, grant->id,
+                                           grant->fence < lowest_fence ? order_status::conflict : status, {});
+            }
+            else {
+                releases.push_back(std::get<release_order>(action));
+                manager.on_order_completed(now, releases.back().id, status, {});
             }
-            else
-                manager.on_order_completed(now, std::get<release_order>(action).id, status, {});
         }
     }
+    /// Appends a record that assigns keys to another target.
+    void assign(key_range keys, const std::string& target)
+    {
+        auto next = *log.find("ledger");
+        next.assign(keys, {target, 0, "10.0.0.1:80"}, log.position().offset, log.log_time(now));
+        log.apply(now, std::string{ownership_log::service_prefix} + "ledger", encode(next), log.position());
+    }
 
     range_manager manager{{"n1", 1, "10.1.0.1:1"}, {}, milliseconds{0}};
     ownership_log log;
@@ -63,6 +75,13 @@
     std::vector<std::string> keyed{"ledger"};
     std::set<std::string, std::less<>> leaving;
     std::vector<grant_order> grants;
+    std::vector<release_order> releases;
+    /// Fencing token below which the targets refuse grants.
+    std::uint64_t lowest_fence = 0;
+    /// Result of the appends; only those that are done change the log.
+    append_status append_outcome = append_status::done;
+    /// Time of the last read of the log; none if it is read all the time.
+    std::optional<time_point> last_read;
     time_point now{std::chrono::hours{1}};
 };
 
@@ -83,6 +102,15 @@
     add("orders do not arrive", [](ownership_faults& f) { f.order_not_sent = 0.4; });
     add("coordinators pause", [](ownership_faults& f) { f.pause = 0.05; });
     add("coordinators are killed", [](ownership_faults& f) { f.kill = 0.1; });
+    add("coordinators hand over", [](ownership_faults& f) { f.stop = 0.15; });
+    add("coordinators hand over, and some lose the log or the links", [](ownership_faults& f) {
+        f.stop = 0.1;
+        f.append_answer_lost = 0.1;
+        f.append_delayed = 0.1;
+        f.log_unreachable = 0.05;
+        f.links_lost = 0.03;
+        f.drain = 0.005;
+    });
     add("coordinators lose the connection to the log", [](ownership_faults& f) { f.log_unreachable = 0.05; });
     add("coordinators cannot reach some targets", [](ownership_faults& f) {
         f.target_unreachable = 0.1;
@@ -208,6 +236,32 @@
     CHECK_FALSE(site.grants.empty());
 }
 
+// Guards against a process that ends with the role, and against keys that nobody renews if none succeeds it.
+TEST_CASE("a coordinator that hands over resigns at once and renews the grants until another succeeds it")
+{
+    single_coordinator site(2);
+    for (int step = 0; step < 50; ++step)
+        site.step(milliseconds{100}, order_status::done);
+    REQUIRE_FALSE(site.log.claim()->resigned);
+    site.manager.hand_over();
+    site.step(milliseconds{100}, order_status::done);
+    CHECK(site.log.claim()->resigned);
+    const auto end = site.log.position();
+    site.leaving = {"t2@0"};
+    site.grants.clear();
+    for (int step = 0; step < 50; ++step)
+        site.step(milliseconds{100}, order_status::done);
+    CHECK_FALSE(site.grants.empty());
+    CHECK(site.log.position() == end);
+    const coordinator_claim successor{"n2", 2, "10.1.0.2:1"};
+    REQUIRE(!site.log.apply(site.now, ownership_log::claim_key, encode(successor), end));
+    site.grants.clear();
+    for (int step = 0; step < 50; ++step)
+        site.step(milliseconds{100}, order_status::done);
+    CHECK_FALSE(site.manager.is_coordinator());
+    CHECK(site.grants.empty());
+}
+
 TEST_CASE("targets keep their keys during a 9 s outage of the log")
 {
     ownership_simulation simulation(6, {}, 3, 6);
@@ -238,6 +292,80 @@
     CHECK(simulation.held_key_fraction() == 1.0);
 }
 
+// Guards against two targets that hold a key (OWNER): the grants of an owner were forgotten when it was
+// assigned its keys together with others' and lost them before it was granted the new range.
+TEST_CASE("a target that loses keys again before they were granted releases what it holds of them")
+{
+    single_coordinator coordinator(3);
+    for (int step = 0; step < 20; ++step)
+        coordinator.step(milliseconds{100}, order_status::done);
+    const auto& ranges = coordinator.log.find("ledger")->ranges();
+    REQUIRE(ranges.size() > 1);
+    const auto first = ranges[0].owner.id;
+    const auto second = ranges[1].owner.id;
+    REQUIRE(first != second);
+    const key_range keys{static_cast<key_number>(ranges[0].keys.last - 5),
+                         static_cast<key_number>(ranges[1].keys.first + 5)};
+    coordinator.assign(keys, first);
+    coordinator.step(milliseconds{100}, order_status::not_sent);
+    coordinator.releases.clear();
+    std::string third = "t1";
+    while (third == first || third == second)
+        ++third.back();
+    coordinator.assign(keys, third);
+    coordinator.step(milliseconds{100}, order_status::not_sent);
+    CHECK(std::ranges::any_of(coordinator.releases, [&](const release_order& release) {
+        return release.target.id == first && release.keys.contains(keys.first);
+    }));
+}
+
+// Guards against two targets that hold a key (OWNER): grants were renewed although an append that records
+// their end could still be carried out, because a later append had no effect.
+TEST_CASE("grants are not renewed while an append that records their end may be carried out")
+{
+    single_coordinator coordinator(2);
+    for (int step = 0; step < 30; ++step)
+        coordinator.step(milliseconds{100}, order_status::done);
+    const auto is_renewed_after = [&](append_status outcome) {
+        coordinator.last_read.reset();
+        coordinator.append_outcome = outcome;
+        coordinator.step(milliseconds{100}, order_status::done);
+        // The next append waits for a read.
+        coordinator.last_read = coordinator.now;
+        coordinator.grants.clear();
+        for (int step = 0; step < 25; ++step)
+            coordinator.step(milliseconds{100}, order_status::done);
+        return std::ranges::any_of(coordinator.grants,
+                                   [](const grant_order& grant) { return grant.target.id == "t1"; });
+    };
+    coordinator.directory.remove("t1", {0, 2});
+    CHECK(is_renewed_after(append_status::not_applied));
+    CHECK_FALSE(is_renewed_after(append_status::unknown));
+    CHECK_FALSE(is_renewed_after(append_status::not_applied));
+}
+
+// Guards against keys that nobody serves: the only target was not granted its keys any more because their
+// move to another one had failed.
+TEST_CASE("a target that is reached again is granted its keys if they could not be moved to another one")
+{
+    single_coordinator coordinator(1);
+    for (int step = 0; step < 30; ++step)
+        coordinator.step(milliseconds{100}, order_status::done);
+    coordinator.append_outcome = append_status::unknown;
+    for (int step = 0; step < 80; ++step)
+        coordinator.step(milliseconds{100}, order_status::not_sent);
+    coordinator.directory.update({"t2", "ledger", "10.0.0.2:80", "a", 4, false, {}, 0, 1}, {0, 2});
+    for (int step = 0; step < 5; ++step)
+        coordinator.step(milliseconds{100}, order_status::not_sent);
+    coordinator.directory.remove("t2", {0, 3});
+    coordinator.append_outcome = append_status::done;
+    coordinator.grants.clear();
+    for (int step = 0; step < 60; ++step)
+        coordinator.step(milliseconds{100}, order_status::done);
+    REQUIRE(coordinator.manager.is_coordinator());
+    CHECK_FALSE(coordinator.grants.empty());
+}
+
 // A process that has just started has read all records at the same time. If it did not use the log time, it
 // would take old reassignments for new ones and wait too long for the grants of former owners.
 TEST_CASE("a process that has just started derives reassignment times from the log time, which it never "
@@ -251,9 +379,9 @@
     moved.assign({0, 99}, owner("c"), 9, milliseconds{15'000});
     ownership_log log;
     const auto key = std::string{ownership_log::service_prefix} + "ledger";
-    CHECK(!log.apply(start, key, encode(moved), 9));
+    CHECK(!log.apply(start, key, encode(moved), {0, 9}));
     const coordinator_claim claim{"n1", 1, "10.1.0.1:1", milliseconds{16'000}};
-    CHECK(!log.apply(start, ownership_log::claim_key, encode(claim), 10));
+    CHECK(!log.apply(start, ownership_log::claim_key, encode(claim), {0, 10}));
     const auto* range = log.find("ledger")->find(7);
     REQUIRE(range != nullptr);
     CHECK(range->owner.id == "c");
@@ -290,6 +418,40 @@
     CHECK(failure(decode_claim(claim + R"(,"elapsed":-1})")) != nullptr);
 }
 
+TEST_CASE("an assignment says how long the grants of a former owner last, beside what earlier builds read")
+{
+    const auto owner = [](const char* id) { return target_incarnation{id, 0, "x:1"}; };
+    assignment moved;
+    moved.assign({0, 9}, owner("a"), 1, milliseconds{0});
+    moved.assign({0, 4}, owner("b"), 2, milliseconds{500});
+    const auto earlier = encode(moved);
+    moved.set_grants_left(2, milliseconds{500}, [](key_range, const target_incarnation& former) {
+        return former.id == "a" ? std::optional{milliseconds{4100}} : std::nullopt;
+    });
+    const auto text = encode(moved);
+    CHECK(std::get<assignment>(decode_assignment(text)) == moved);
+    const auto rows = earlier.substr(earlier.find("\"ranges\""));
+    CHECK(text.find(rows.substr(0, rows.size() - 1)) != std::string::npos);
+    // A later move of the same keys keeps what is known of the earlier one.
+    moved.assign({0, 4}, owner("c"), 3, milliseconds{900});
+    const auto& former_owners = moved.find(0)->former_owners;
+    REQUIRE(former_owners.size() == 2);
+    CHECK(former_owners[0] == former_owner{owner("b"), milliseconds{900}});
+    CHECK(former_owners[1] == former_owner{owner("a"), milliseconds{500}, milliseconds{4100}});
+    // Another coordinator's later record may have the same log time.
+    moved.assign({5, 9}, owner("b"), 4, milliseconds{500});
+    moved.set_grants_left(4, milliseconds{500}, [](key_range, const target_incarnation&) {
+        return std::optional{milliseconds{9}};
+    });
+    CHECK(moved.find(0)->former_owners[1].grants_left == milliseconds{4100});
+    CHECK(moved.find(5)->former_owners[0].grants_left == milliseconds{9});
+    for (const char* left : {"{}", "[[0,0]]", "[[0,1,5]]", "[[9,0,5]]", "[[0,0,-1]]", R"([[0,0,"x"]])"}) {
+        CAPTURE(left);
+        const std::string begin = R"({"targets":[["a",0,"x:1"],["b",0,"x:2"]],"ranges":[[0,9,2,0,1,500]],)";
+        CHECK(failure(decode_assignment(begin + "\"grants_left\":" + left + "}")) != nullptr);
+    }
+}
+
 TEST_CASE("assignments with malformed rows are rejected")
 {
     const std::string targets = R"("targets":[["a",0,"x:1"]])";
@@ -306,9 +468,12 @@
 // it grants the keys to another target.
 TEST_CASE("a process that has just started waits for the grants of earlier coordinators to expire")
 {
-    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
         CAPTURE(seed);
-        ownership_simulation simulation(seed, {}, 3, 6);
+        // Reports that the second coordinator has ended say nothing on the first.
+        ownership_faults faults;
+        faults.coordinator_reports = seed % 2 == 0;
+        ownership_simulation simulation(seed, faults, 3, 6);
         simulation.run(milliseconds{4000});
         const auto owner = simulation.holder(700);
         simulation.isolate_coordinator(owner, milliseconds{60'000});
@@ -316,7 +481,7 @@
         simulation.run(milliseconds{5000});
         // The second coordinator has recorded the reassignment; later coordinators know of it from the log
         // only.
-        for (int takeover = 0; takeover < 2; ++takeover) {
+        for (int takeover = 0; takeover < (faults.coordinator_reports ? 1 : 2); ++takeover) {
             simulation.kill_coordinator();
             simulation.run(milliseconds{4000});
         }
@@ -343,6 +508,20 @@
     CHECK(coordinator.grants.back().fence > refused);
 }
 
+// Tokens that a lost part of the log gave can be above all that the log's positions give in this era.
+TEST_CASE(
+    "a target that goes on rejecting tokens gets one above all of this era, and no endless further ones")
+{
+    single_coordinator coordinator(1);
+    coordinator.lowest_fence = 500'000;
+    for (int count = 0; count < 40; ++count)
+        coordinator.step(milliseconds{400}, order_status::done);
+    REQUIRE(!coordinator.grants.empty());
+    CHECK(coordinator.grants.back().fence > coordinator.lowest_fence);
+    CHECK(coordinator.log.claim()->fence_origin == std::optional<std::int64_t>{-1});
+    CHECK(coordinator.log.find("ledger")->find(0)->fence == coordinator.grants.back().fence);
+}
+
 // At a few requests per second the short-term average varies too much to show that a target is overloaded.
 TEST_CASE("a load of a few requests per second is rebalanced according to the long-term average")
 {
@@ -381,12 +560,12 @@
     const auto appends_after = [&](unsigned reports, milliseconds waited) {
         range_manager manager({"n2", 2, "10.1.0.2:1"}, {}, milliseconds{100});
         ownership_log log;
-        log.apply(start, ownership_log::claim_key, encode(earlier), 0);
+        log.apply(start, ownership_log::claim_key, encode(earlier), {});
         const target_directory directory;
         const std::vector<std::string> keyed;
         static_cast<void>(manager.tick(start, {log, directory, keyed, start, true}));
         for (unsigned count = 0; count < reports; ++count)
-            manager.record_coordinator_report(1, false);
+            manager.record_coordinator_report(1, coordinator_report::idle);
         const auto now = start + waited;
         return !manager.tick(now, {log, directory, keyed, now, true}).empty();
     };
@@ -396,6 +575,29 @@
     CHECK(appends_after(0, milliseconds{2700}));
 }
 
+// Guards against a role that is claimed, and grants that are taken for expired, while the coordinator lives.
+TEST_CASE("reports that a coordinator does not coordinate say nothing of its next term")
+{
+    const auto start = time_point{std::chrono::hours{1}};
+    coordinator_claim claim{"n1", 1, "10.1.0.1:1"};
+    range_manager manager({"n2", 2, "10.1.0.2:1"}, {}, milliseconds{100});
+    ownership_log log;
+    const target_directory directory;
+    const std::vector<std::string> keyed;
+    const auto write_claim = [&](bool resigned) {
+        claim.resigned = resigned;
+        log.apply(start, ownership_log::claim_key, encode(claim), log.position());
+    };
+    write_claim(false);
+    static_cast<void>(manager.tick(start, {log, directory, keyed, start, true}));
+    write_claim(true);
+    manager.record_coordinator_report(1, coordinator_report::idle);
+    manager.record_coordinator_report(1, coordinator_report::idle);
+    write_claim(false);
+    const auto now = start + milliseconds{200};
+    CHECK(manager.tick(now, {log, directory, keyed, now, true}).empty());
+}
+
 // Each new coordinator waits until the grants of former owners have expired. The wait must count from the
 // reassignment, not from the takeover; otherwise repeated takeovers keep the keys without a holder.
 TEST_CASE("repeated takeovers do not delay the grant of keys whose former owner has failed")
@@ -418,6 +620,23 @@
     }
 }
 
+// Guards against keys that stay without a holder for 18 s after their target and the coordinator have ended.
+TEST_CASE("keys of a failed target are held 10 s after a takeover from a process that is known to have ended")
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        CAPTURE(seed);
+        ownership_faults faults;
+        faults.coordinator_reports = true;
+        ownership_simulation simulation(seed, faults, 3, 6);
+        simulation.run(milliseconds{20'000});
+        simulation.fail_target(simulation.holder(700));
+        simulation.kill_coordinator();
+        simulation.run(milliseconds{10'000});
+        CHECK(simulation.violations().empty());
+        CHECK(simulation.held_key_fraction() == 1.0);
+    }
+}
+
 // Verifies that the simulation detects violations: target clocks slower than the protocol allows must cause
 // some.
 TEST_CASE("the simulation reports two holders of a key if target clocks are slower than allowed")
--- a/tests/store_client_tests.cpp
+++ b/tests/store_client_tests.cpp
@@ -25,6 +25,13 @@
     return make_response(200, big_endian(end) + big_endian(0) + records);
 }
 
+/// Returns a response of an era of the store.
+http_response of_era(std::uint64_t era, http_response response)
+{
+    response.set("Store-Era", std::to_string(era));
+    return response;
+}
+
 const std::string newest_page = R"({"items":[{"key":"a","value":"b25l","offset":4}],"more":false,"end":5})";
 
 /// Store that records the requests and returns scripted responses in order. After the last scripted response
@@ -78,7 +85,7 @@
         read_outcome outcome = store_error::unknown;
         run(io, [&]() -> asio::awaitable<void> {
             std::string topic = "keyed.t";
-            outcome = co_await store.client.read(std::move(topic), 7, milliseconds{0});
+            outcome = co_await store.client.read(std::move(topic), {0, 7}, milliseconds{0});
         });
         const auto* read_error = std::get_if<store_error>(&outcome);
         CHECK((read_error == nullptr ? std::nullopt : std::optional{*read_error}) == expected.read_error);
@@ -110,7 +117,7 @@
             std::string topic = "keyed.t";
             std::vector<append_order::record> records;
             records.push_back({"a", "one"});
-            outcome = co_await store.client.append(std::move(topic), 7, std::move(records));
+            outcome = co_await store.client.append(std::move(topic), log_position{0, 7}, std::move(records));
         });
         CHECK(outcome.status == expected.status);
         REQUIRE(store.requests.size() == 1);
@@ -130,7 +137,7 @@
             std::string topic = "keyed.t";
             std::vector<append_order::record> records;
             records.push_back({"a", "one"});
-            outcome = co_await client.append(std::move(topic), 7, std::move(records));
+            outcome = co_await client.append(std::move(topic), log_position{0, 7}, std::move(records));
         });
         return outcome.status;
     };
@@ -157,7 +164,7 @@
     CHECK(std::get<keyed_page>(outcome).records.size() == 2);
     // A record that is appended between the requests for two pages must not be missed, so reading continues
     // from the end offset of the first page.
-    CHECK(std::get<keyed_page>(outcome).next_offset == 5);
+    CHECK(std::get<keyed_page>(outcome).next == log_position{0, 5});
     CHECK(store.requests[1] == "/api/log-newest?topic=keyed.t&part=0&after=a");
 }
 
@@ -173,7 +180,7 @@
     store.script.push_back(page(6, encode_keyed_record("a", "two")));
     store.script.push_back(make_response(410, ""));
     store.script.push_back(make_response(200, newest_page));
-    std::optional<std::uint64_t> position;
+    std::optional<log_position> position;
     std::vector<std::uint64_t> records;
     unsigned failures = 0;
     topic_handler handler{[&] { return position; },
@@ -182,9 +189,9 @@
                                   io.stop();
                               co_return;
                           },
-                          [&](const keyed_page& all) { position = all.next_offset; },
-                          [&](const stream_record& record) { records.push_back(record.offset); },
-                          [&](time_point, std::uint64_t next) { position = next; },
+                          [&](const keyed_page& all) { position = all.next; },
+                          [&](const stream_record& record) { records.push_back(record.position.offset); },
+                          [&](time_point, log_position next) { position = next; },
                           [&] { ++failures; }};
     const auto polling = configuration_polling(milliseconds{2000});
     asio::co_spawn(io, follow_topic(store.client, "keyed.t", polling, handler), asio::detached);
@@ -198,3 +205,129 @@
     CHECK(records == std::vector<std::uint64_t>{5});
     CHECK(failures == 1);
 }
+
+// After a return of the store from an older copy, offsets are given out again: a record at the requested
+// offset is another one than the reader expects.
+TEST_CASE("an answer of another era than the requested position is not used, whatever its status")
+{
+    asio::io_context io(1);
+    scripted_store store(io);
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> eras;
+    store.client.set_era_observer(
+        [&](std::uint64_t last, std::uint64_t era) { eras.emplace_back(last, era); });
+    const auto record = page(8, encode_keyed_record("a", "one"));
+    const auto appended = make_response(200, R"({"offset":7,"end":8})");
+    const auto read = [&](http_response answer, std::uint64_t era) {
+        store.script.push_back(std::move(answer));
+        read_outcome outcome = store_error::unknown;
+        run(io, [&]() -> asio::awaitable<void> {
+            std::string topic = "keyed.t";
+            outcome = co_await store.client.read(std::move(topic), {era, 7}, milliseconds{0});
+        });
+        return std::holds_alternative<store_error>(outcome) ? std::get<store_error>(outcome)
+                                                            : std::optional<store_error>{};
+    };
+    const auto append = [&](http_response answer, std::optional<log_position> expected_end) {
+        store.script.push_back(std::move(answer));
+        append_outcome outcome;
+        run(io, [&]() -> asio::awaitable<void> {
+            std::string topic = "keyed.t";
+            std::vector<append_order::record> records;
+            records.push_back({"a", "one"});
+            outcome = co_await store.client.append(std::move(topic), expected_end, std::move(records));
+        });
+        return outcome;
+    };
+    CHECK(!read(of_era(1, record), 1));
+    CHECK(append(of_era(1, appended), log_position{1, 7}).position == log_position{1, 7});
+    CHECK(read(of_era(2, record), 1) == store_error::era_changed);
+    CHECK(read(of_era(2, make_response(410, "")), 1) == store_error::era_changed);
+    CHECK(read(of_era(2, make_response(503, "")), 1) == store_error::era_changed);
+    CHECK(append(of_era(2, appended), log_position{1, 7}).status == append_status::stale);
+    CHECK(read(of_era(1, record), 1) == store_error::era_changed);
+    CHECK(append(of_era(1, appended), log_position{1, 7}).status == append_status::stale);
+    CHECK(append(of_era(1, appended), std::nullopt).status == append_status::unknown);
+    // Without the header, an answer is of the highest era seen.
+    CHECK(!read(record, 2));
+    CHECK(append(appended, log_position{2, 7}).era == 2);
+    CHECK(store.client.era() == 2);
+    CHECK(eras == std::vector<std::pair<std::uint64_t, std::uint64_t>>{{1, 2}});
+}
+
+TEST_CASE("pages of the newest records are not used together if they are of different eras")
+{
+    for (const std::uint64_t second_era : {1U, 2U}) {
+        asio::io_context io(1);
+        scripted_store store(io);
+        const auto* const first = R"({"items":[{"key":"a","value":"b25l","offset":4}],"more":true,"end":5})";
+        store.script = {of_era(1, make_response(200, first)),
+                        of_era(second_era, make_response(200, newest_page))};
+        read_outcome outcome = store_error::unknown;
+        run(io, [&]() -> asio::awaitable<void> {
+            std::string topic = "keyed.t";
+            outcome = co_await store.client.read_newest(std::move(topic));
+        });
+        if (second_era == 2)
+            CHECK(std::get<store_error>(outcome) == store_error::era_changed);
+        else
+            CHECK(std::get<keyed_page>(outcome).records.front().position == log_position{1, 4});
+    }
+}
+
+namespace {
+
+/// Follows a topic for a time.
+/// @param position position of the first read; the snapshots are not applied unless `applied`.
+/// @returns the requests.
+std::vector<std::string> follow_for(milliseconds time, std::deque<http_response> script, bool applied)
+{
+    asio::io_context io(1);
+    scripted_store store(io);
+    store.script = std::move(script);
+    std::optional<log_position> position = log_position{1, 9};
+    topic_handler handler{[&] { return position; },
+                          []() -> asio::awaitable<void> { co_return; },
+                          [&](const keyed_page& all) {
+                              if (applied)
+                                  position = all.next;
+                          },
+                          [](const stream_record&) {},
+                          [](time_point, log_position) {},
+                          [] {}};
+    asio::co_spawn(io, follow_topic(store.client, "keyed.t", {milliseconds{0}, milliseconds{500}}, handler),
+                   asio::detached);
+    io.run_for(time);
+    return store.requests;
+}
+
+} // namespace
+
+TEST_CASE("after a new era the newest records are read once, and reading goes on from there")
+{
+    const auto requests = follow_for(milliseconds{300},
+                                     {of_era(2, page(20, encode_keyed_record("a", "one"))),
+                                      of_era(2, make_response(200, newest_page)), of_era(2, page(5))},
+                                     true);
+    CHECK(requests == std::vector<std::string>{"/api/log-read?topic=keyed.t&part=0&from=9",
+                                               "/api/log-newest?topic=keyed.t&part=0",
+                                               "/api/log-read?topic=keyed.t&part=0&from=5"});
+}
+
+// Guards against reads in a loop while the newest records don't lead to a position that the store accepts.
+TEST_CASE("while the store is away or refuses each position the pauses between reads increase")
+{
+    std::deque<http_response> refused;
+    for (int round = 0; round < 1000; ++round) {
+        refused.push_back(of_era(1, make_response(410, "")));
+        refused.push_back(of_era(1, make_response(200, newest_page)));
+    }
+    // A store that is away is asked after 250 ms and then each 500 ms, each less a random quarter at most.
+    const auto failed = follow_for(milliseconds{1500}, {}, true).size();
+    CHECK(failed >= 4);
+    CHECK(failed <= 5);
+    for (const bool applied : {false, true}) {
+        const auto requests = follow_for(milliseconds{1500}, refused, applied).size();
+        CHECK(requests >= 2);
+        CHECK(requests <= 10);
+    }
+}
--- a/tests/support/ownership_simulation.cpp
+++ b/tests/support/ownership_simulation.cpp
@@ -15,8 +15,12 @@
     std::uint64_t session = 0;
     std::unique_ptr<range_manager> manager;
     ownership_log log;
-    std::uint64_t position = 0;
+    /// Next position to read; none before the first snapshot.
+    std::optional<log_position> position;
     time_point read_sent{};
+    /// Time until which this instance reads nothing, although it can append.
+    time_point reads_late_until{};
+    time_point next_report_at{};
     time_point paused_until{};
     time_point stopped_until{};
     time_point log_unreachable_until{};
@@ -38,13 +42,18 @@
     bool draining = false;
     /// Whether no process responds at the target's address.
     bool unreachable = false;
+    /// Whether the host refuses connections.
+    bool refuses = false;
+    time_point registered_at{};
+    /// Sequence number of the last registration after a lapse.
+    std::uint64_t sequence = 1;
     std::vector<granted_range> grants;
     std::vector<std::uint64_t> highest_fences = std::vector<std::uint64_t>(std::size_t{last_key} + 1);
 };
 
 ownership_simulation::ownership_simulation(std::uint64_t seed, ownership_faults faults, unsigned coordinators,
-                                           unsigned targets)
-    : random_(seed), faults_(faults)
+                                           unsigned targets, ownership_guards guards)
+    : random_(seed), faults_(faults), guards_(guards)
 {
     for (unsigned index = 0; index < targets; ++index) {
         targets_.push_back(std::make_unique<simulated_target>());
@@ -53,7 +62,7 @@
         ++next_target_;
         const auto& incarnation = targets_.back()->incarnation;
         directory_.update({incarnation.id, service, incarnation.address, "a", 4, false, {}, 0, 1},
-                          ++directory_position_);
+                          {0, ++directory_position_});
     }
     for (unsigned index = 0; index < coordinators; ++index) {
         instances_.push_back(std::make_unique<simulated_instance>());
@@ -153,15 +162,87 @@
     check_grants();
 }
 
+void ownership_simulation::return_store(milliseconds age, milliseconds outage)
+{
+    constexpr int max_notice_delay_ms = 1500;
+    std::erase_if(log_, [&](const stored_record& record) { return record.written_at > now_ - age; });
+    ++store_era_;
+    for (auto& instance : instances_) {
+        instance->log_unreachable_until = std::max(instance->log_unreachable_until, now_ + outage);
+        instance->reads_late_until = now_ + outage + random_duration(0, max_notice_delay_ms);
+    }
+    for (auto& target : targets_) {
+        if (!target->alive || target->draining || target->registered_at <= now_ - age)
+            continue;
+        directory_.remove(target->incarnation.id, {0, ++directory_position_});
+        schedule(outage + random_duration(500, 2000), [this, id = target->incarnation.id] {
+            if (const auto* back = find(id))
+                directory_.update({id, service, back->incarnation.address, "a", 4, back->draining, {}, 0, 1},
+                                  {0, ++directory_position_});
+        });
+    }
+}
+
+void ownership_simulation::kill(simulated_instance& instance, milliseconds duration) const
+{
+    instance.manager.reset();
+    instance.stopped_until = now_ + duration;
+}
+
+void ownership_simulation::kill_all_instances()
+{
+    for (auto& instance : instances_)
+        kill(*instance, milliseconds{500});
+}
+
+void ownership_simulation::drain_for_a_while(const std::string& id)
+{
+    start_drain(id);
+    schedule(milliseconds{8000}, [this, id] {
+        if (auto* target = find(id))
+            restart_target(*target);
+    });
+}
+
+void ownership_simulation::begin_drill()
+{
+    const auto drained = targets_[random_() % targets_.size()]->incarnation.id;
+    const bool coordinator_is_cut_off = occurs(0.4);
+    const auto drain_delay = coordinator_is_cut_off ? random_duration(2700, 3600) : milliseconds{0};
+    const auto return_delay = drain_delay + random_duration(400, 2500);
+    const auto outage = random_duration(300, 2000);
+    if (coordinator_is_cut_off)
+        for (auto& instance : instances_)
+            if (instance->manager && instance->manager->is_coordinator())
+                instance->log_unreachable_until = now_ + return_delay;
+    schedule(drain_delay, [this, drained] { drain_for_a_while(drained); });
+    schedule(return_delay, [this, outage] { return_store(random_duration(500, 4000), outage); });
+    // Either some instances end at the return, or all of them once one may coordinate the new era.
+    if (occurs(0.5))
+        schedule(return_delay, [this] {
+            for (auto& instance : instances_)
+                if (occurs(0.5))
+                    kill(*instance, random_duration(200, 1000));
+        });
+    else if (occurs(0.6))
+        schedule(return_delay + outage + random_duration(500, 4000), [this] { kill_all_instances(); });
+}
+
 void ownership_simulation::inject_faults()
 {
+    if (faults_.store_return > 0 && occurs(faults_.store_return)) {
+        if (faults_.store_drill)
+            begin_drill();
+        else
+            return_store(random_duration(500, 4000), random_duration(300, 2000));
+    }
     for (auto& instance : instances_) {
         if (occurs(faults_.pause))
             instance->paused_until = now_ + random_duration(500, 15'000);
-        if (occurs(faults_.kill)) {
-            instance->manager.reset();
-            instance->stopped_until = now_ + random_duration(200, 3000);
-        }
+        if (occurs(faults_.kill))
+            kill(*instance, random_duration(200, 3000));
+        if (faults_.stop > 0 && instance->manager && occurs(faults_.stop))
+            stop(*instance);
         if (occurs(faults_.target_unreachable))
             instance->unreachable_targets[targets_[random_() % targets_.size()]->incarnation.id] =
                 now_ + random_duration(1000, 15'000);
@@ -175,35 +256,56 @@
             restart_target(*target);
         else if (target->alive && !target->draining && occurs(faults_.drain))
             start_drain(target->incarnation.id);
+        else if (faults_.lapse > 0 && target->alive && !target->draining && occurs(faults_.lapse))
+            lose_registration(*target);
     }
 }
 
+void ownership_simulation::lose_registration(simulated_target& target)
+{
+    const auto lost = target.incarnation;
+    directory_.remove(lost.id, {0, ++directory_position_});
+    schedule(random_duration(1000, 8000), [this, lost, &target] {
+        if (target.incarnation == lost && target.alive && !target.draining)
+            directory_.update({lost.id, service, lost.address, "a", 4, false, {}, 0, ++target.sequence},
+                              {0, ++directory_position_});
+    });
+}
+
+void ownership_simulation::stop(simulated_instance& instance)
+{
+    instance.manager->hand_over();
+    schedule(random_duration(200, 6000), [this, &instance, session = instance.session] {
+        if (instance.manager && instance.session == session)
+            kill(instance, random_duration(200, 3000));
+    });
+}
+
 void ownership_simulation::start_drain(const std::string& id)
 {
     if (auto* target = find(id)) {
         target->draining = true;
         directory_.update({id, service, target->incarnation.address, "a", 4, true, {}, 0, 2},
-                          ++directory_position_);
+                          {0, ++directory_position_});
     }
 }
 
-void ownership_simulation::fail_target(const std::string& id)
+void ownership_simulation::fail_target(const std::string& id, bool refuses)
 {
     auto* target = find(id);
+    target->refuses = refuses;
     target->alive = false;
     target->unreachable = true;
     target->grants.clear();
-    directory_.remove(id, ++directory_position_);
+    directory_.remove(id, {0, ++directory_position_});
 }
 
 void ownership_simulation::kill_coordinator()
 {
     for (auto& instance : instances_)
         if (instance->manager && instance->manager->is_coordinator() &&
-            instance->log_unreachable_until <= now_) {
-            instance->manager.reset();
-            instance->stopped_until = now_ + milliseconds{500};
-        }
+            instance->log_unreachable_until <= now_)
+            kill(*instance, milliseconds{500});
 }
 
 void ownership_simulation::disconnect_log(milliseconds duration)
@@ -218,14 +320,15 @@
     target.grants.clear();
     const auto previous = target.incarnation;
     schedule(random_duration(500, 6000), [this, previous, &target] {
-        directory_.remove(previous.id, ++directory_position_);
+        directory_.remove(previous.id, {0, ++directory_position_});
         target.incarnation.id = "t" + std::to_string(next_target_++);
         target.alive = true;
         target.draining = false;
+        target.registered_at = now_;
         std::ranges::fill(target.highest_fences, 0);
         directory_.update(
             {target.incarnation.id, service, target.incarnation.address, "a", 4, false, {}, 0, 1},
-            ++directory_position_);
+            {0, ++directory_position_});
     });
 }
 
@@ -235,13 +338,15 @@
         return;
     if (!instance.manager) {
         instance.session = next_session_++;
-        instance.log = ownership_log{};
-        instance.position = 0;
+        instance.log = ownership_log{guards_};
+        instance.position.reset();
         instance.manager = std::make_unique<range_manager>(
             coordinator_claim{"n" + std::to_string(instance.session), instance.session, "10.1.0.1:1"},
-            ownership_timing{}, random_duration(0, 500));
+            ownership_timing{}, random_duration(0, 500), guards_);
     }
     read_log(instance);
+    if (faults_.coordinator_reports && now_ >= instance.next_report_at)
+        ask_coordinator(instance);
     for (const auto& [key, rate] : hot_key_rates_)
         instance.manager->record_load(service, key, rate * 0.05);
     instance.manager->set_targets_reachable(now_ < instance.links_known_lost_from ||
@@ -251,14 +356,44 @@
         execute(instance, std::move(action));
 }
 
+void ownership_simulation::ask_coordinator(simulated_instance& instance)
+{
+    instance.next_report_at = now_ + milliseconds{500};
+    const auto& claim = instance.log.claim();
+    if (!claim || claim->session == instance.session)
+        return;
+    const auto named = std::ranges::find_if(
+        instances_, [&](const auto& other) { return other->manager && other->session == claim->session; });
+    // A process that is paused does not answer, which says nothing.
+    auto report = coordinator_report::ended;
+    if (named != instances_.end())
+        report = (*named)->manager->is_coordinator() || now_ < (*named)->paused_until
+                     ? coordinator_report::coordinates
+                     : coordinator_report::idle;
+    instance.manager->record_coordinator_report(claim->session, report);
+}
+
+void ownership_simulation::read_snapshot(simulated_instance& instance)
+{
+    std::map<std::string, std::size_t> newest;
+    for (std::size_t offset = 0; offset < log_.size(); ++offset)
+        newest[log_[offset].content.key] = offset;
+    for (const auto& [key, offset] : newest)
+        instance.log.apply(now_, key, log_[offset].content.value, {store_era_, offset});
+    instance.position = {store_era_, log_.size()};
+}
+
 void ownership_simulation::read_log(simulated_instance& instance)
 {
-    if (now_ < instance.log_unreachable_until)
+    if (now_ < instance.log_unreachable_until || now_ < instance.reads_late_until)
         return;
-    for (; instance.position < log_.size(); ++instance.position)
-        instance.log.apply(now_, log_[instance.position].key, log_[instance.position].value,
-                           instance.position);
-    instance.log.set_position(instance.position);
+    if (!instance.position || instance.position->era != store_era_)
+        read_snapshot(instance);
+    for (auto& position = *instance.position; position.offset < log_.size(); position = position.after(1)) {
+        const auto& record = log_[position.offset].content;
+        instance.log.apply(now_, record.key, record.value, position);
+    }
+    instance.log.set_position(*instance.position);
     instance.read_sent = now_;
 }
 
@@ -272,12 +407,13 @@
         release(from, std::get<release_order>(action));
 }
 
-bool ownership_simulation::apply_append(const append_order& order)
+append_status ownership_simulation::apply_append(const append_order& order)
 {
-    if (order.expected_end != log_.size())
-        return false;
-    log_.insert(log_.end(), order.records.begin(), order.records.end());
-    return true;
+    if (order.expected_end.offset != log_.size())
+        return append_status::stale;
+    for (const auto& record : order.records)
+        log_.push_back({record, now_});
+    return order.expected_end.era == store_era_ ? append_status::done : append_status::stale;
 }
 
 void ownership_simulation::append(simulated_instance& from, append_order order)
@@ -290,16 +426,20 @@
         status = append_status::unknown;
         schedule(random_duration(1000, 6000), [this, order] { apply_append(order); });
     }
-    else if (const bool applied = apply_append(order); occurs(faults_.append_answer_lost))
+    else if (const auto applied = apply_append(order); occurs(faults_.append_answer_lost))
         status = append_status::unknown;
     else
-        status = applied ? append_status::done : append_status::stale;
+        status = applied;
     schedule(status == append_status::unknown ? milliseconds{900} : network_delay,
-             [this, &from, session, status] {
+             [this, &from, session, status, order = std::move(order)] {
                  if (!from.manager || from.session != session)
                      return;
-                 if (status == append_status::done)
-                     read_log(from);
+                 if (status == append_status::done && from.position == order.expected_end) {
+                     for (const auto& record : order.records) {
+                         from.log.apply(now_, record.key, record.value, *from.position);
+                         from.position = from.position->after(1);
+                     }
+                 }
                  from.manager->on_append_completed(now_, status);
              });
 }
@@ -322,10 +462,32 @@
     std::fill(target->highest_fences.begin() + order.keys.first,
               target->highest_fences.begin() + order.keys.last + 1, order.fence);
     const auto duration = std::chrono::duration_cast<microseconds>(order.duration * faults_.clock_slowdown);
+    if (arrival + duration > now_)
+        check_fence(order);
     target->grants.push_back({order.keys, order.fence, arrival + duration});
     return order_status::done;
 }
 
+void ownership_simulation::check_fence(const grant_order& order)
+{
+    for (std::uint32_t key = order.keys.first; key <= order.keys.last; ++key) {
+        auto& fences = fences_[key];
+        if (fences.target != order.target.id && order.fence > fences.highest) {
+            fences.highest_of_others = fences.highest;
+            fences.target = order.target.id;
+        }
+        if (fences.target == order.target.id)
+            fences.highest = std::max(fences.highest, order.fence);
+        const auto others = fences.target == order.target.id ? fences.highest_of_others : fences.highest;
+        if (order.fence > others)
+            continue;
+        violations_.push_back("key " + std::to_string(key) + " is granted to " + order.target.id +
+                              " with fence " + std::to_string(order.fence) + " after " +
+                              std::to_string(others));
+        return;
+    }
+}
+
 void ownership_simulation::grant(simulated_instance& from, const grant_order& order)
 {
     const auto session = from.session;
@@ -356,7 +518,11 @@
     const auto session = from.session;
     auto* target = find(order.target.id);
     auto status = order_status::done;
-    if (!reaches(from, order.target.id) || (target != nullptr && occurs(faults_.order_not_sent)))
+    if (std::ranges::any_of(targets_, [&](const auto& failed) {
+            return failed->refuses && failed->incarnation.id == order.target.id;
+        }))
+        status = order_status::refused;
+    else if (!reaches(from, order.target.id) || (target != nullptr && occurs(faults_.order_not_sent)))
         status = order_status::not_sent;
     else if (target == nullptr)
         status = order_status::terminated;
--- a/tests/support/ownership_simulation.hpp
+++ b/tests/support/ownership_simulation.hpp
@@ -12,7 +12,8 @@
 
 /// @file
 /// Simulation of coordinators, an ownership log and targets in virtual time with injected faults. It records
-/// each time step at which two targets hold the same key.
+/// each time step at which two targets hold the same key, and each grant with a fencing token that is not
+/// above those of the key's other holders.
 
 namespace teaseltally::test {
 
@@ -35,6 +36,8 @@
     double pause = 0;
     /// In each second, an instance is killed and starts again with a new session after 0.2 to 3 s.
     double kill = 0;
+    /// In each second, an instance hands its role over for 0.2 to 6 s, ends and starts again as after `kill`.
+    double stop = 0;
     /// In each second, an instance loses its connection to the log for 1 to 15 s.
     double log_unreachable = 0;
     /// In each second, an instance loses its connection to a random target for 1 to 15 s.
@@ -46,6 +49,16 @@
     double crash = 0;
     /// In each second, a target begins to drain.
     double drain = 0;
+    /// In each second, the registration of a target that lives is removed for 1 to 8 s.
+    double lapse = 0;
+    /// In each second, the store goes away for 0.3 to 2 s and comes back in the next era from a copy that is
+    /// 0.5 to 4 s old. Instances notice the era up to 1.5 s after each other.
+    double store_return = 0;
+    /// Whether what makes a return hard comes with it: a target that drains, or a coordinator that loses the
+    /// log, in the seconds that are lost, and instances that end at the return or soon after.
+    bool store_drill = false;
+    /// Whether instances ask the process named in the claim every 0.5 s whether it coordinates.
+    bool coordinator_reports = false;
     /// Real duration of a grant at a target, relative to its nominal duration; the protocol allows at
     /// most 1.02.
     double clock_slowdown = 1.02;
@@ -58,8 +71,9 @@
     /// @param seed seed of the random faults and delays.
     /// @param coordinators number of instances that can coordinate.
     /// @param targets number of targets.
-    ownership_simulation(std::uint64_t seed, ownership_faults faults, unsigned coordinators,
-                         unsigned targets);
+    /// @param guards safety checks of the instances.
+    ownership_simulation(std::uint64_t seed, ownership_faults faults, unsigned coordinators, unsigned targets,
+                         ownership_guards guards = {});
     ~ownership_simulation();
     ownership_simulation(const ownership_simulation&) = delete;
     ownership_simulation& operator=(const ownership_simulation&) = delete;
@@ -69,9 +83,14 @@
     /// Runs the simulation for a time span of virtual time.
     void run(milliseconds duration);
     /// Stops the injection of faults. Faults that have begun last until their scheduled end.
-    void clear_faults() { faults_ = {.clock_slowdown = faults_.clock_slowdown}; }
+    void clear_faults()
+    {
+        faults_ = {.coordinator_reports = faults_.coordinator_reports,
+                   .clock_slowdown = faults_.clock_slowdown};
+    }
     /// Stops a target permanently: no process responds at its address, and its directory entry is removed.
-    void fail_target(const std::string& id);
+    /// @param refuses whether its host refuses connections.
+    void fail_target(const std::string& id, bool refuses = false);
     /// Disconnects the coordinator from the log, and all other instances from a target, for a time span. Only
     /// the old coordinator can then renew the grants of the target.
     void isolate_coordinator(const std::string& target, milliseconds duration);
@@ -79,13 +98,20 @@
     void cut_links_of_coordinator(milliseconds duration);
     /// Kills each instance that coordinates and is connected to the log. It starts again after 0.5 s.
     void kill_coordinator();
+    /// Takes the store away and lets it come back in the next era from an older copy.
+    /// @param age age of the copy.
+    /// @param outage time for which the store is away.
+    void return_store(milliseconds age, milliseconds outage);
+    /// Kills all instances. They start again after 0.5 s.
+    void kill_all_instances();
     /// Makes a target start to drain.
     void start_drain(const std::string& id);
     /// Disconnects every instance from the log for a time span.
     void disconnect_log(milliseconds duration);
     /// Sets the request rate of a key.
     void set_hot(key_number key, double requests_per_s);
-    /// Returns a description of each time step at which two targets held the same key.
+    /// Returns a description of each time step at which two targets held the same key, and of each grant with
+    /// a fencing token that was too low.
     [[nodiscard]] const std::vector<std::string>& violations() const noexcept { return violations_; }
     /// Returns the fraction of the keys that live targets hold, 0 to 1.
     [[nodiscard]] double held_key_fraction() const;
@@ -97,6 +123,16 @@
 private:
     struct simulated_instance;
     struct simulated_target;
+    struct stored_record {
+        append_order::record content;
+        time_point written_at;
+    };
+    /// Highest fencing token with which a key was granted, and that of all other incarnations.
+    struct granted_fences {
+        std::string target;
+        std::uint64_t highest = 0;
+        std::uint64_t highest_of_others = 0;
+    };
     struct event {
         time_point due_at;
         std::function<void()> run;
@@ -108,7 +144,14 @@
     void append(simulated_instance& from, append_order order);
     void grant(simulated_instance& from, const grant_order& order);
     void release(simulated_instance& from, const release_order& order);
-    bool apply_append(const append_order& order);
+    append_status apply_append(const append_order& order);
+    void kill(simulated_instance& instance, milliseconds duration) const;
+    void stop(simulated_instance& instance);
+    void begin_drill();
+    void drain_for_a_while(const std::string& id);
+    void read_snapshot(simulated_instance& instance);
+    void ask_coordinator(simulated_instance& instance);
+    void check_fence(const grant_order& order);
     order_status apply_grant(const grant_order& order, time_point arrival);
     void complete_order(simulated_instance& to, std::uint64_t session, std::uint64_t order,
                         order_status status, std::string handover);
@@ -116,6 +159,7 @@
     void inject_faults();
     void cut_links(simulated_instance& instance, milliseconds duration) const;
     void restart_target(simulated_target& target);
+    void lose_registration(simulated_target& target);
     void check_grants();
     [[nodiscard]] bool occurs(double probability);
     [[nodiscard]] milliseconds random_duration(int low, int high);
@@ -126,7 +170,10 @@
     std::mt19937_64 random_;
     ownership_faults faults_;
     time_point now_{std::chrono::hours{1}};
-    std::vector<append_order::record> log_;
+    ownership_guards guards_;
+    std::uint64_t store_era_ = ownership_log::first_era;
+    std::vector<stored_record> log_;
+    std::vector<granted_fences> fences_ = std::vector<granted_fences>(std::size_t{last_key} + 1);
     std::vector<std::unique_ptr<simulated_instance>> instances_;
     std::vector<std::unique_ptr<simulated_target>> targets_;
     std::vector<event> events_;
