--- a/tests/front_stop_tests.cpp
+++ b/tests/front_stop_tests.cpp
@@ -1,5 +1,7 @@
 #include "support/front_deployment.hpp"
 
+#include <teaseltally/ownership/range_manager.hpp>
+
 #include <csignal>
 #include <doctest/doctest.h>
 
@@ -12,6 +14,7 @@
 struct late_request {
     std::string id;
     bool answered = false;
+    unsigned status = 0;
 };
 
 /// Opens a connection, waits, and sends a request over it.
@@ -29,10 +32,133 @@
     http_response response;
     const auto [failed, size] = co_await http::async_read(stream, buffer, response, as_result);
     request.answered = !failed;
+    request.status = failed ? 0 : response.result_int();
+}
+
+/// Restarts an instance a while after its process has ended.
+asio::awaitable<void> restart_after_end(deployment& site, std::size_t front)
+{
+    constexpr milliseconds restart_delay{1000};
+    while (!site.fronts[front]->has_ended())
+        co_await sleep_for(milliseconds{20});
+    co_await sleep_for(restart_delay);
+    site.fronts[front]->start();
+}
+
+/// Returns how many of the keys of `deployment::start_load` no target holds.
+std::size_t unheld_keys(const deployment& site)
+{
+    constexpr unsigned key_step = 256;
+    std::size_t count = 0;
+    for (unsigned key = 0; key <= last_key; key += key_step)
+        count += std::ranges::none_of(site.targets, [&](const auto& target) { return target->holds(key); });
+    return count;
+}
+
+/// Returns whether an instance other than the given one says that it coordinates.
+bool has_successor(const deployment& site, std::size_t former)
+{
+    for (std::size_t front = 0; front < site.fronts.size(); ++front) {
+        const auto output = site.fronts[front]->output();
+        const auto last = output.rfind("coordinates=");
+        if (front != former && last != std::string::npos && output.substr(last).starts_with("coordinates=1"))
+            return true;
+    }
+    return false;
 }
 
 } // namespace
 
+// Guards against a stopping coordinator that keeps its role and sends no orders until others notice its
+// silence.
+TEST_CASE("a stopping coordinator hands its role over before it ends")
+{
+    // As when a target leaves while the coordinator stays (front_statement_tests).
+    constexpr double min_served_share = 0.99;
+    // Rule DRAIN of the users' platform: time after which a target that leaves gets no request.
+    constexpr milliseconds drain_time{2000};
+    // Time after which others take over from a coordinator that is silent.
+    constexpr milliseconds takeover_timeout = ownership_timing{}.takeover_timeout;
+    deployment_options options;
+    options.behaviour.keyed = true;
+    deployment site(options);
+    time_point told_at{};
+    time_point succeeded_at{};
+    std::vector<late_request> requests(20);
+    run(site.io, [&]() -> asio::awaitable<void> {
+        co_await site.start();
+        for (std::size_t front = 0; front < front_count; ++front)
+            site.start_load(front, milliseconds{25});
+        co_await sleep_for(milliseconds{3000});
+        const auto former = site.coordinator();
+        for (std::size_t index = 0; index < requests.size(); ++index) {
+            requests[index].id = "open-" + std::to_string(index);
+            asio::co_spawn(site.io,
+                           send_after(site.fronts[former]->callers(),
+                                      milliseconds{140} * static_cast<int>(index + 1), requests[index]),
+                           asio::detached);
+        }
+        co_await sleep_for(milliseconds{100});
+        told_at = boot_clock::now();
+        site.fronts[former]->signal(SIGTERM);
+        site.targets[0]->say_leaving();
+        while (succeeded_at == time_point{} && boot_clock::now() < told_at + milliseconds{6000}) {
+            co_await sleep_for(milliseconds{20});
+            if (has_successor(site, former))
+                succeeded_at = boot_clock::now();
+        }
+        co_await sleep_for(milliseconds{3000});
+        site.stop_load();
+        co_await sleep_for(milliseconds{2200});
+    });
+    REQUIRE(succeeded_at != time_point{});
+    const auto all = answers_between(site, told_at, told_at + milliseconds{2900});
+    const auto moved = answers_between(site, told_at + drain_time, told_at + milliseconds{2900});
+    const auto late =
+        std::ranges::count_if(requests, [](const late_request& request) { return request.status != 200; });
+    MESSAGE("succeeded after " << (succeeded_at - told_at) / milliseconds{1} << " ms; served " << all.served
+                               << " of " << all.sent << ", after the move " << moved.served << " of "
+                               << moved.sent << "; failed on open connections: " << late);
+    CHECK(succeeded_at - told_at < takeover_timeout);
+    CHECK(moved.served == moved.sent);
+    CHECK(all.share() >= min_served_share);
+    CHECK(late == 0);
+}
+
+// Guards against keys that nobody renews while the instances restart one soon after the other.
+TEST_CASE("targets keep their keys while all instances restart, the coordinator first")
+{
+    // Requests in progress delay the ends of the processes, almost to the end of the grace period.
+    deployment_options options{"safe", {}, front_count, 8, "8000ms"};
+    options.behaviour.service_time = milliseconds{2700};
+    options.behaviour.keyed = true;
+    deployment site(options);
+    std::size_t worst = 0;
+    std::vector<late_request> requests(front_count);
+    run(site.io, [&]() -> asio::awaitable<void> {
+        co_await site.start();
+        co_await sleep_for(milliseconds{3000});
+        const auto first = site.coordinator();
+        REQUIRE(unheld_keys(site) == 0);
+        for (std::size_t turn = 0; turn < front_count; ++turn) {
+            const auto front = (first + turn) % front_count;
+            requests[front].id = "open-" + std::to_string(front);
+            asio::co_spawn(site.io,
+                           send_after(site.fronts[front]->callers(), milliseconds{2900}, requests[front]),
+                           asio::detached);
+            site.fronts[front]->signal(SIGTERM);
+            asio::co_spawn(site.io, restart_after_end(site, front), asio::detached);
+            co_await sleep_for(milliseconds{300});
+        }
+        for (int sample = 0; sample < 100; ++sample) {
+            co_await sleep_for(milliseconds{100});
+            worst = std::max(worst, unheld_keys(site));
+        }
+    });
+    MESSAGE("keys without a holder: " << worst);
+    CHECK(worst == 0);
+}
+
 // Guards against requests that are taken long after SIGTERM and cut off at the end of the process (LOST).
 TEST_CASE("a stopping instance answers the requests that it takes, or closes their connections unread")
 {
