--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -208,6 +208,10 @@
     /// Routes a request that another instance passed on.
     /// @returns the message of its result.
     [[nodiscard]] asio::awaitable<http_response> serve_relayed(relayed_request received);
+    /// Declines the requests that other instances pass on from now on, so that they ask another instance.
+    void decline_relayed() noexcept { declines_relayed_ = true; }
+    /// Returns the number of requests passed on by other instances that have no response yet.
+    [[nodiscard]] unsigned relayed_in_progress() const noexcept { return relayed_in_progress_; }
     /// Records that a target has said that it is leaving, to this instance or to another one. Ignored if its
     /// incarnation is not registered.
     void record_leaving(const std::string& incarnation);
@@ -387,6 +391,8 @@
     /// Incarnations of targets that are being probed.
     std::set<std::string> probed_incarnations_;
     request_relay* relay_ = nullptr;
+    bool declines_relayed_ = false;
+    unsigned relayed_in_progress_ = 0;
     target_reachability reachability_;
     bool probing_links_ = false;
     time_point next_link_probe_at_{};
--- a/src/net/request_links.cpp
+++ b/src/net/request_links.cpp
@@ -1,3 +1,4 @@
+#include <teaseltally/count_guard.hpp>
 #include <teaseltally/log_line.hpp>
 #include <teaseltally/net/request_router.hpp>
 
@@ -209,6 +210,14 @@
 
 asio::awaitable<http_response> request_router::serve_relayed(relayed_request received)
 {
+    const count_guard in_progress(relayed_in_progress_);
+    relay_result result;
+    result.sends = received.sends;
+    result.unknown_outcomes = received.unknown_outcomes;
+    if (declines_relayed_) {
+        result.response = make_response(503, "the instance is stopping\n");
+        co_return encode_relay_result(std::move(result));
+    }
     auto request = std::make_shared<routed_request>(executor_, std::move(received.message), received.caller,
                                                     boot_clock::now());
     request->is_relayed = true;
@@ -220,7 +229,6 @@
         request->relay_outcome = relay_status::declined;
     else if (request->relay_outcome == relay_status::refused && request->may_have_executed)
         request->relay_outcome = relay_status::outcome_unknown;
-    relay_result result;
     result.status = request->relay_outcome;
     if (response)
         result.response = std::move(*response);
--- a/tests/front_stop_tests.cpp
+++ b/tests/front_stop_tests.cpp
@@ -185,3 +185,39 @@
         CHECK((request.answered || !ran));
     }
 }
+
+// Guards against requests of isolated instances that are cut off at the end of the instance that they were
+// passed to.
+TEST_CASE("a stopping instance completes the requests that were passed to it, and declines later ones")
+{
+    deployment_options options{"unsafe", {}, 2, 4, "8000ms"};
+    options.behaviour.service_time = milliseconds{450};
+    deployment site(options);
+    std::vector<late_request> requests(10);
+    run(site.io, [&]() -> asio::awaitable<void> {
+        co_await site.start();
+        site.set_target_links({1}, target_links::silent, open_connections::silent);
+        site.start_load(1, milliseconds{100});
+        co_await sleep_for(milliseconds{2000});
+        site.stop_load();
+        // The requests arrive from 2.3 s to 3.2 s after SIGTERM; they are taken for 3 s.
+        for (std::size_t index = 0; index < requests.size(); ++index) {
+            requests[index].id = "relayed-" + std::to_string(index);
+            const auto delay = milliseconds{2300 + 100 * static_cast<int>(index)};
+            asio::co_spawn(site.io, send_after(site.fronts[1]->callers(), delay, requests[index]),
+                           asio::detached);
+        }
+        site.fronts[0]->signal(SIGTERM);
+        co_await sleep_for(milliseconds{5000});
+    });
+    std::size_t served = 0;
+    for (const auto& request : requests) {
+        INFO(request.id);
+        const bool ran = std::ranges::any_of(
+            site.runs, [&](const target_run& run) { return run.request_id == request.id; });
+        CHECK(request.status == (ran ? 200U : 503U));
+        served += ran ? 1 : 0;
+    }
+    CHECK(served > 0);
+    CHECK(served < requests.size());
+}
