Count relayed requests that fail together once

What callers saw: "no instance reaches the targets" for up to 4 s after an instance had restarted, 106 to 129 a second at two cut instances. Cause: requests that were on their way to a process when it ended counted as failures one after the other, and each doubled the time for which the instance is left out; twenty of them left it out for 4 s at once (test). Ruled out: that the restarted one declines, or isn't known as a member. Change: only a request counts that was sent after the time for which the instance was left out.

A further test says that all attempts of relayed requests stay within the retry budget of all instances. That the receiver has hardly any tokens for them stays open.

--- a/src/net/request_relay.cpp
+++ b/src/net/request_relay.cpp
@@ -145,6 +145,7 @@
 {
     auto& peer = peers_[to.instance];
     const count_guard in_flight(peer.in_flight);
+    const auto sent_at = boot_clock::now();
     relay_result result;
     result.sends = request.sends;
     result.unknown_outcomes = request.unknown_outcomes;
@@ -167,7 +168,8 @@
     const bool failed = result.status == relay_status::declined || !result.responded;
     if (!failed)
         peer.failures = 0;
-    else {
+    else if (sent_at >= peer.backoff_until) {
+        // Requests that were sent together say the same of the instance, so the first of them counts.
         const auto doublings = std::min(peer.failures++, max_backoff_doublings);
         peer.backoff_until = boot_clock::now() + std::min(min_backoff * (1U << doublings), max_backoff);
     }
--- a/tests/request_relay_tests.cpp
+++ b/tests/request_relay_tests.cpp
@@ -208,6 +208,76 @@
     }
 }
 
+// Guards against an instance that is left out for seconds after its restart.
+TEST_CASE("requests that fail at the same time leave an instance out once")
+{
+    constexpr std::size_t request_count = 20;
+    // The shortest time for which an instance is left out, and a margin.
+    constexpr milliseconds left_out_time{700};
+    relay_fixture site(execution_semantics::idempotent, target_reaction::answer);
+    const feed_member ended{"n3", "a", "127.0.0.1:" + std::to_string(site.unused.port()), 0};
+    auto& relay = site.isolated.relay;
+    relay.set_members({ended});
+    std::size_t completed = 0;
+    run(site.io, [&]() -> asio::awaitable<void> {
+        for (std::size_t index = 0; index < request_count; ++index)
+            asio::co_spawn(
+                site.io,
+                [&]() -> asio::awaitable<void> {
+                    relayed_request request{make_request(http::verb::get, "/x"),
+                                            asio::ip::make_address("127.0.0.7"), "s", 0, 0};
+                    static_cast<void>(co_await relay.send(ended, std::move(request),
+                                                          boot_clock::now() + milliseconds{1000}));
+                    ++completed;
+                },
+                asio::detached);
+        co_await sleep_for(milliseconds{50});
+        CHECK_FALSE(relay.choose({}, boot_clock::now()).has_value());
+        co_await sleep_for(left_out_time);
+        CHECK(completed == request_count);
+        CHECK(relay.choose({}, boot_clock::now()).has_value());
+    });
+}
+
+// Guards against retries that nobody pays for, and against retries that both instances pay for from budgets
+// of their own (rule BUDGET of the users' platform).
+TEST_CASE("all attempts of relayed requests beyond the first stay within the retry budget of all instances")
+{
+    constexpr unsigned instances = 8;
+    constexpr std::size_t request_count = 400;
+    relay_fixture site(execution_semantics::idempotent, target_reaction::refuse);
+    reacting_target second(site.io, target_reaction::refuse);
+    site.other.add_target("t1", site.target.endpoint());
+    site.other.add_target("t2", second.endpoint());
+    for (auto* instance : {&site.isolated, &site.other})
+        instance->router.set_instance_count(instances);
+    run(site.io, [&]() -> asio::awaitable<void> {
+        co_await relay_fixture::isolate(site.isolated);
+        for (std::size_t index = 0; index < request_count; ++index) {
+            asio::co_spawn(
+                site.io,
+                [&site, index]() -> asio::awaitable<void> {
+                    static_cast<void>(co_await site.isolated.router.serve(
+                        site.make_routed({}, "q" + std::to_string(index))));
+                },
+                asio::detached);
+            co_await sleep_for(milliseconds{5});
+        }
+        co_await sleep_for(milliseconds{1100});
+    });
+    std::map<std::string, std::size_t> arrivals;
+    for (const auto* target : {&site.target, &second})
+        for (const auto& request : target->requests)
+            ++arrivals[std::string{request["tt-request-id"]}];
+    std::size_t retries = 0;
+    for (const auto& [id, count] : arrivals)
+        retries += count - 1;
+    MESSAGE(arrivals.size() << " requests arrived, with " << retries << " retries");
+    CHECK(arrivals.size() > request_count / 2);
+    // Each of the instances may have saved up its share of the burst.
+    CHECK(static_cast<double>(retries) <= retry_ratio * request_count + 2 * retry_burst / instances);
+}
+
 // Guards against requests that go from instance to instance.
 TEST_CASE(
     "an instance that reaches no target declines relayed requests, and the caller is told when to return")
