--- a/include/teaseltally/admission/target_rate_limits.hpp
+++ b/include/teaseltally/admission/target_rate_limits.hpp
@@ -85,6 +85,11 @@
                                                         time_point now);
     /// Forgets all buckets and starts with empty ones, as another instance may have issued permits meanwhile.
     void restart() { buckets_.clear(); }
+    /// Records a limit for which another instance issues the permits.
+    void record_limit(const std::string& incarnation, const rate_limit& known)
+    {
+        limits_.apply(incarnation, known);
+    }
     /// Returns the limits known to the issuer.
     [[nodiscard]] const rate_limit_table& limits() const noexcept { return limits_; }
     /// Forgets targets for which no instance has requested permits for a long time.
