Pause less for permits that others leave

An instance that was granted no permit paused as if all instances wanted the limit, so that with one or two of many instances wanting permits a good part of the limit was used by no one. Each grant after such a pause now halves the next one; none granted, and it is as long as at first. Unit test: one or two of 6 or 30 instances get at least 0.7 of a limit of 4 a second over 60 s, and each at least a quarter of that.

--- a/include/teaseltally/admission/target_rate_limits.hpp
+++ b/include/teaseltally/admission/target_rate_limits.hpp
@@ -147,6 +147,9 @@
         /// Time until which the permits may be used, so that saved ones do not make a burst.
         time_point valid_until{};
         time_point held_back_until{};
+        /// Part of the pause for equal use by all instances that this one makes; falls while others leave
+        /// permits.
+        double pause_share = 1;
         /// Permits used since `used_from`, and the rate of use in the time before.
         unsigned used = 0;
         time_point used_from{};
--- a/src/admission/target_rate_limits.cpp
+++ b/src/admission/target_rate_limits.cpp
@@ -296,9 +296,12 @@
     auto& held = permits_[grant.incarnation];
     unreachable_since_.reset();
     unreachable_until_ = {};
+    const bool is_after_pause = held.held_back_until != time_point{} && now >= held.held_back_until;
+    if (is_after_pause)
+        held.pause_share = grant.granted == 0 ? 1 : held.pause_share / 2;
     if (grant.granted == 0) {
         const double fair_interval_s = grant.known.per_s ? 1 / own_rate(*grant.known.per_s) : 0;
-        const auto pause = std::clamp(time_for(fair_interval_s / requests_per_permit, 1),
+        const auto pause = std::clamp(time_for(fair_interval_s * held.pause_share / requests_per_permit, 1),
                                       microseconds{min_pause}, microseconds{max_pause});
         held.held_back_until = now + std::max(grant.wait, pause);
         return;
--- a/tests/target_rate_limits_tests.cpp
+++ b/tests/target_rate_limits_tests.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <numeric>
 
 using namespace teaseltally;
 
@@ -95,6 +96,31 @@
     });
 }
 
+// Guards against permits that no one uses because an instance pauses for others that want none.
+TEST_CASE("one or two of many instances that want permits get most of them, each a good part")
+{
+    constexpr double limit_per_s = 4;
+    constexpr int duration_ms = 60'000;
+    for (const unsigned instances : {6U, 30U})
+        for (const unsigned wanting : {1U, 2U}) {
+            CAPTURE(instances);
+            CAPTURE(wanting);
+            permit_issuer issuer;
+            std::vector<permit_holder> holders(wanting, holder_with_limit(limit_per_s, start));
+            for (auto& holder : holders)
+                holder.set_instance_count(instances);
+            std::vector<int> used(wanting);
+            // Each wants about five permits a second, at times of its own.
+            for (int now_ms = 0; now_ms < duration_ms; ++now_ms)
+                for (unsigned index = 0; index < wanting; ++index)
+                    if (now_ms % (197 + static_cast<int>(index)) == 0)
+                        used[index] += use(holders[index], &issuer, at(now_ms)) ? 1 : 0;
+            const auto sum = std::accumulate(used.begin(), used.end(), 0);
+            CHECK(sum >= limit_per_s * duration_ms / 1000 * 0.7);
+            CHECK(*std::ranges::min_element(used) * 4 >= sum);
+        }
+}
+
 TEST_CASE("permits that were not used in time do not make a burst")
 {
     constexpr double limit_per_s = 4;
