Read one topic at a time while the store is away

Cause: each of the five topics repeated its failed read on its own, so an outage cost an instance up to ten calls a second. Evidence: after a reset of all connections and 0.7 s of refusals each topic had sent two or three reads that could not succeed; the reads of the new era itself are five.

Change: failed reads of all topics wait in one queue. The first one is repeated after 250 ms and then each 500 ms, in turn, and any answer of the store ends the wait of all. The end of an outage is noticed as early as before. Ruled out: longer pauses, since a configuration at the end of an outage has to be in force in 1.5 s; one topic that asks for all, since a topic that is refused for a reason of its own would then hold up the others.

--- a/tests/store_client_tests.cpp
+++ b/tests/store_client_tests.cpp
@@ -172,6 +172,7 @@
     "a follower reads the newest records again after a truncation, and waits for records only while reads "
     "succeed")
 {
+    read_retry_queue retries;
     asio::io_context io(1);
     scripted_store store(io);
     store.script.push_back(make_response(200, newest_page));
@@ -194,7 +195,7 @@
                           [&](time_point, log_position next) { position = next; },
                           [&] { ++failures; }};
     const auto polling = configuration_polling(milliseconds{2000});
-    asio::co_spawn(io, follow_topic(store.client, "keyed.t", polling, handler), asio::detached);
+    asio::co_spawn(io, follow_topic(store.client, retries, "keyed.t", polling, handler), asio::detached);
     io.run();
     REQUIRE(store.requests.size() == 6);
     CHECK(store.requests[0] == "/api/log-newest?topic=keyed.t&part=0");
@@ -276,11 +277,14 @@
 
 namespace {
 
-/// Follows a topic for a time.
-/// @param position position of the first read; the snapshots are not applied unless `applied`.
+/// Follows topics for a time.
+/// @param applied whether snapshots are applied.
+/// @param topics number of topics; all have the same position.
 /// @returns the requests.
-std::vector<std::string> follow_for(milliseconds time, std::deque<http_response> script, bool applied)
+std::vector<std::string> follow_for(milliseconds time, std::deque<http_response> script, bool applied,
+                                    int topics = 1)
 {
+    read_retry_queue retries;
     asio::io_context io(1);
     scripted_store store(io);
     store.script = std::move(script);
@@ -294,8 +298,10 @@
                           [](const stream_record&) {},
                           [](time_point, log_position) {},
                           [] {}};
-    asio::co_spawn(io, follow_topic(store.client, "keyed.t", {milliseconds{0}, milliseconds{500}}, handler),
-                   asio::detached);
+    for (int topic = 0; topic < topics; ++topic)
+        asio::co_spawn(
+            io, follow_topic(store.client, retries, "keyed.t", {milliseconds{0}, milliseconds{500}}, handler),
+            asio::detached);
     io.run_for(time);
     return store.requests;
 }
@@ -331,3 +337,18 @@
         CHECK(requests <= 10);
     }
 }
+
+// Guards against calls in an outage that grow with the number of topics.
+TEST_CASE("while the store is away one topic is read at a time, and all are read at once when it answers")
+{
+    constexpr int topics = 5;
+    const auto refusal = of_era(1, make_response(503, ""));
+    const auto failed = follow_for(milliseconds{1500}, {100, refusal}, true, topics).size();
+    CHECK(failed >= topics + 3);
+    CHECK(failed <= topics + 4);
+    std::deque<http_response> script(topics + 1, refusal);
+    for (int call = 0; call < 10 * topics; ++call)
+        script.push_back(of_era(1, page(9)));
+    // The second turn comes within 750 ms; the pause after a successful read is 500 ms.
+    CHECK(follow_for(milliseconds{1000}, script, true, topics).size() == 2 * topics + 1);
+}
