Draw the age and the outage of a simulated return in a fixed order

Cause: two random numbers were drawn in the arguments of one call.

Change: the numbers are drawn one after the other, in the order of x86-64. No other call of the simulations draws two numbers in its arguments.

--- a/tests/support/ownership_simulation.cpp
+++ b/tests/support/ownership_simulation.cpp
@@ -233,8 +233,11 @@
     if (faults_.store_return > 0 && occurs(faults_.store_return)) {
         if (faults_.store_drill)
             begin_drill();
-        else
-            return_store(random_duration(500, 4000), random_duration(300, 2000));
+        else {
+            // Compilers differ in the order in which they evaluate arguments.
+            const auto outage = random_duration(300, 2000);
+            return_store(random_duration(500, 4000), outage);
+        }
     }
     for (auto& instance : instances_) {
         if (occurs(faults_.pause))
