Give the findings of the ownership checker a type name of their own

Two structs teaseltally::test::ownership_faults were linked into one program, with different members; the simulation's and the checker's objects could run each other's functions. No test is known to have failed by it; found by reading. Only the name changes.

--- a/tests/support/ownership_history.cpp
+++ b/tests/support/ownership_history.cpp
@@ -25,7 +25,7 @@
 /// Checks keys that all events treat alike.
 /// @param events events on these keys, in order.
 /// @param count number of the keys.
-void check_keys(const std::vector<const key_event*>& events, std::size_t count, ownership_faults& faults)
+void check_keys(const std::vector<const key_event*>& events, std::size_t count, ownership_findings& faults)
 {
     std::map<std::string, holder> holders;
     bool at_two = false;
@@ -62,13 +62,13 @@
 
 } // namespace
 
-ownership_faults check_ownership(std::vector<key_event> events)
+ownership_findings check_ownership(std::vector<key_event> events)
 {
     std::ranges::stable_sort(events, {}, &key_event::at);
     std::set<unsigned> bounds;
     for (const auto& event : events)
         bounds.insert({event.from, event.to + 1});
-    ownership_faults faults;
+    ownership_findings faults;
     for (auto first = bounds.begin(); first != bounds.end() && std::next(first) != bounds.end(); ++first) {
         std::vector<const key_event*> alike;
         for (const auto& event : events)
--- a/tests/support/ownership_history.hpp
+++ b/tests/support/ownership_history.hpp
@@ -34,7 +34,7 @@
 };
 
 /// Numbers of keys on which a rule is broken, and the first case of each.
-struct ownership_faults {
+struct ownership_findings {
     std::size_t keys_at_two = 0;
     /// Keys with a grant whose fence is not above all that other incarnations had.
     std::size_t keys_with_old_fence = 0;
@@ -44,6 +44,6 @@
 /// Finds keys that two incarnations held at once, and grants with fences that are not above all with which
 /// other incarnations had the key.
 /// @param events what all targets received, in any order.
-[[nodiscard]] ownership_faults check_ownership(std::vector<key_event> events);
+[[nodiscard]] ownership_findings check_ownership(std::vector<key_event> events);
 
 } // namespace teaseltally::test
