Let a coordinator that hands over not keep its term in a new era

Callers and targets: after the store came back from an older copy, a key could be granted to a target while another one still held it from the lost seconds (OWNER). Seen in a unit test only, in no run of real processes and no schedule.

Cause: a coordinator keeps its term in a new era if its last record is less than 2.45 s old, because others wait for 2.5 s of silence before they claim the role. They don't wait once it has given the role up: they claim at once, so in the lost seconds a successor may have claimed and moved keys. The coordinator then wrote its claim, marked as resigned but not as unsettled, and all assignments as it knew them into the new era. Whoever took over from that claim found nothing of an earlier era and swept no target (by reading). Class of fault: a bound on what others can have done left out what they may do at once.

Evidence: the new test failed before for both outcomes of the hand-over's append (carried out, unknown): the coordinator stayed one, counted as continuous and appended its claim. It steps down now, and its successor finds that the era begins.

Ruled out: to test for a resigned claim in the log only, since the outcome of its append may be unknown; a mark on the claim instead of stepping down, which would keep the renewals but gains little: grants last 4 s at least after the last renewal, and a successor claims after 2.5 s.

Change: the process's hand-over ends continuity.

--- a/src/ownership/range_terms.cpp
+++ b/src/ownership/range_terms.cpp
@@ -24,10 +24,10 @@
     // Another instance claims the role after it has read nothing new for the takeover timeout. What it wrote
     // may be lost, but it cannot have written anything if less time has passed since this coordinator's last
     // record. The claim alone does not count: until others know that this instance coordinates, they may
-    // claim the role at once.
+    // claim the role at once. So they may when it hands the role over.
     const auto timeout =
         timing_.takeover_timeout - timing_.takeover_timeout / ownership_log::clock_error_divisor;
-    continuous_ = is_coordinator_ && now < authority_until_ && confirmed_append_sent_ &&
+    continuous_ = is_coordinator_ && !hands_over_ && now < authority_until_ && confirmed_append_sent_ &&
                   now - *confirmed_append_sent_ < timeout;
     continuous_ = continuous_ || !guards_.continuity_check;
 }
--- a/tests/store_era_tests.cpp
+++ b/tests/store_era_tests.cpp
@@ -382,6 +382,35 @@
     }
 }
 
+// Guards against two targets that hold a key (OWNER): another instance may have taken over at once, and moved
+// keys, in the records that were lost.
+TEST_CASE("a coordinator that is handing the role over does not keep its term in a new era")
+{
+    for (const bool appended : {true, false}) {
+        CAPTURE(appended);
+        told_instance instance;
+        instance.log.set_position({1, 0});
+        instance.coordinate();
+        REQUIRE(instance.manager.is_coordinator());
+        instance.manager.hand_over();
+        const auto handover = instance.tick(milliseconds{100});
+        REQUIRE(handover.size() == 1);
+        const auto& order = std::get<append_order>(handover.front());
+        // Without an answer, others may have read the claim all the same.
+        if (appended)
+            instance.carry_out(order);
+        else
+            instance.manager.on_append_completed(instance.now, append_status::unknown);
+        CHECK(instance.log.claim()->resigned == appended);
+        instance.log.set_position({2, instance.log.position().offset});
+        CHECK(instance.tick(milliseconds{500}).empty());
+        CHECK_FALSE(instance.manager.is_continuous());
+        CHECK_FALSE(instance.manager.is_coordinator());
+        // Its successor excludes all targets that may hold keys.
+        CHECK(instance.log.begins_era());
+    }
+}
+
 // Guards against fencing tokens of a lost era that are given again (OWNER): the process had coordinated
 // before, and its new claim counted as a continuation of its earlier term.
 TEST_CASE("a coordinator that steps down in a new era and claims the role again begins a new term")
