Apply a configuration that was written anew under its version

Callers: a configuration that the store had lost with the last seconds before a return, and that was written again with other content under the same version, was ignored by each instance that had read the lost one (CONFIG), until the next version. An instance that started later used the new content, so the instances of a deployment differed.

Cause: the version was taken as the time of the record. Among records of one version the later position in the log decides, and the stream already passes records on in this order only, by era before offset.

Evidence: the test of the router failed before (the second content was not applied), and that of an instance beside a store that returns (no second line `configuration` for version 12 in 5 s). Both hold now.

Ruled out: to compare eras in the router, which has no positions; a record that came back with the copy can't carry the version of the lost one. A lower version is still ignored in each era.

Change: only an equal configuration or one of a lower version is ignored.

--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -158,7 +158,8 @@
     /// attempt whose outcome is unknown.
     request_router(asio::any_io_executor executor, router_settings settings, log_sink log);
 
-    /// Applies a routing configuration if its version is higher than the current one.
+    /// Applies a routing configuration unless its version is lower than the current one or it is equal to it.
+    /// A version that the store has lost may be published again with other content.
     /// @returns whether the configuration was applied.
     bool configure(routing_configuration configured);
     /// Returns the current routing configuration; null until one is applied.
--- a/include/teaseltally/routing/route_table.hpp
+++ b/include/teaseltally/routing/route_table.hpp
@@ -91,6 +91,7 @@
     std::map<std::string, service_definition, std::less<>> services;
     /// Limits that apply to all callers.
     caller_limits limits;
+    bool operator==(const routing_configuration&) const = default;
 };
 
 /// Finds the route of a request. The lookup time depends on the length of the path, not on the number of
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -90,7 +90,7 @@
 
 bool request_router::configure(routing_configuration configured)
 {
-    if (table_ && configured.version <= table_->configured().version)
+    if (table_ && (configured.version < table_->configured().version || configured == table_->configured()))
         return false;
     table_ = std::make_shared<const route_table>(std::move(configured));
     return true;
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -348,6 +348,8 @@
             co_await client.exchange(peer, std::move(request), boot_clock::now() + milliseconds{1000});
         REQUIRE(std::holds_alternative<http_response>(outcome));
         CHECK(std::get<http_response>(outcome).body().find("0000000c") != std::string::npos);
+        configurations.emplace_back("config", replace_text(valid_configuration, "/b/", "/n/"));
+        co_await wait_until([&] { return logged("event=configuration", "version=12") == 2; });
         configurations.emplace_back("config", replace_text(valid_configuration, "0000000c", "0000000d"));
         co_await wait_until([&] { return logged("event=configuration", "version=13") == 1; });
     });
