--- a/include/teaseltally/net/peer_feed.hpp
+++ b/include/teaseltally/net/peer_feed.hpp
@@ -92,7 +92,8 @@
     /// @param request JSON array with one entry per stream: the next offset, null if the other instance has
     /// no snapshot of the stream, or a string if the stream is not requested. Streams without an entry are
     /// not requested. The header `Stream-Eras` holds the era of each entry; without it, from an instance of
-    /// an earlier version, each is that of the local stream.
+    /// an earlier version, each is that of the local stream, and after the first era, each change of a stream
+    /// is answered with a snapshot of it.
     /// @returns the updates, or a response with status 400 if the request is malformed.
     [[nodiscard]] asio::awaitable<http_response> handle_request(http_request request);
     /// Wakes the requests that wait for updates; called when a local stream has changed.
--- a/src/net/peer_feed.cpp
+++ b/src/net/peer_feed.cpp
@@ -360,18 +360,29 @@
     }
     std::array<std::optional<log_position>, stream_kind_count> from;
     std::array<bool, stream_kind_count> requested{};
+    // An offset without an era may be one of a lost era, so that the other instance lacks what was written
+    // below it since.
+    std::array<bool, stream_kind_count> is_ambiguous{};
+    std::array<bool, stream_kind_count> is_ahead{};
     for (std::size_t kind = 0; kind < position_count; ++kind) {
         const auto& position = (*positions)[static_cast<Json::ArrayIndex>(kind)];
-        from[kind] = position_from(position, eras ? (*eras)[kind] : local_streams_[kind].next().era);
+        const auto next = local_streams_[kind].next();
+        from[kind] = position_from(position, eras ? (*eras)[kind] : next.era);
         requested[kind] = !position.isString();
+        is_ambiguous[kind] = !eras && next.era > first_era;
+        is_ahead[kind] = is_ambiguous[kind] && from[kind] > next;
     }
+    const auto has_changes = [&](std::size_t kind) {
+        return local_streams_[kind].has_changes_since(from[kind]) ||
+               (is_ahead[kind] && local_streams_[kind].next() >= from[kind]);
+    };
     // An instance that has just started waits until it has every requested stream.
     const auto has_updates = [&] {
         bool updates = false;
         for (std::size_t kind = 0; kind < stream_kind_count; ++kind) {
             if (requested[kind] && !local_streams_[kind].has_snapshot())
                 return false;
-            updates = updates || (requested[kind] && local_streams_[kind].has_changes_since(from[kind]));
+            updates = updates || (requested[kind] && has_changes(kind));
         }
         return updates;
     };
@@ -381,10 +392,12 @@
     while (!has_updates() && boot_clock::now() < until)
         static_cast<void>(co_await wake.wait_until(until));
     Json::Value deltas(Json::arrayValue);
-    for (std::size_t kind = 0; kind < position_count; ++kind)
-        deltas.append(requested[kind]
-                          ? encode_delta(local_streams_[kind].delta_since(from[kind], boot_clock::now()))
-                          : Json::Value{});
+    for (std::size_t kind = 0; kind < position_count; ++kind) {
+        const bool sends_all = is_ambiguous[kind] && has_changes(kind);
+        deltas.append(requested[kind] ? encode_delta(local_streams_[kind].delta_since(
+                                            sends_all ? std::nullopt : from[kind], boot_clock::now()))
+                                      : Json::Value{});
+    }
     co_return make_response(200, json_text(deltas), "application/json");
 }
 
--- a/tests/peer_feed_tests.cpp
+++ b/tests/peer_feed_tests.cpp
@@ -295,6 +295,47 @@
         CHECK(first_delta(malformed).isNull());
 }
 
+// Guards against followers of an earlier version that never get what was written in a new era below the
+// offset that they had reached in the lost one (CONFIG).
+TEST_CASE("in a later era a follower that names no era gets a snapshot with each change")
+{
+    asio::io_context io(1);
+    feeding_instance other(io);
+    for (auto& stream : other.known)
+        stream.apply_snapshot({{"k", "copy", {2, 7}}}, {2, 8});
+    const auto write = [&](const char* key, std::uint64_t offset) {
+        for (auto& stream : other.known)
+            stream.apply({key, "new", {2, offset}}, true);
+        other.feed.notify_followers();
+    };
+    // Answers to a request for all streams from an offset, while a record is written or none.
+    const auto delta_from = [&](std::uint64_t offset, std::optional<std::uint64_t> written) {
+        const auto text = std::to_string(offset);
+        auto request = make_request(boost::beast::http::verb::post, "/feed",
+                                    "[" + text + "," + text + "," + text + "," + text + "," + text + "]");
+        std::optional<http_response> response;
+        asio::steady_timer timer(io, milliseconds{50});
+        if (written)
+            timer.async_wait([&](boost::system::error_code) { write("l", *written); });
+        run(io, [&]() -> asio::awaitable<void> {
+            response = co_await other.feed.handle_request(std::move(request));
+        });
+        REQUIRE(response->result_int() == 200);
+        return std::get<Json::Value>(parse_json(response->body(), "response"))[0];
+    };
+    const auto is_complete = [](const Json::Value& delta) {
+        return delta["snapshot"].asBool() && delta["records"].size() == 2;
+    };
+    // Nothing to say yet: the follower ignores what ends below its offset.
+    CHECK(delta_from(9, std::nullopt)["records"].empty());
+    // The log reaches the follower's offset, and then passes it.
+    const auto reached = delta_from(9, 8);
+    CHECK(is_complete(reached));
+    CHECK(reached["next"].asUInt64() == 9);
+    CHECK(is_complete(delta_from(9, 9)));
+    CHECK(delta_from(10, std::nullopt)["records"].empty());
+}
+
 // Guards against a dangling waiter when a follower closes its connection during a long poll.
 TEST_CASE("the request of a follower that disconnects is removed from the waiting requests")
 {
