Drop reports that a process doesn't coordinate once it writes a record

Callers: none seen. An instance could claim the role of a living coordinator after its jitter of at most 0.4 s (0.7 s more on small instances) instead of 2.5 s of silence. A coordinator keeps its term in a new era of the store because nobody else can have claimed in less than 2.45 s; such a claim, lost with the copy, breaks that, and with it the rule that no key is at two targets (OWNER).

Cause: two reports of a process that hadn't learnt yet that its claim was appended counted until it answered another report or the term changed. An instance that could not claim at once, or not ask again (it had begun to follow another one, was cut off from the coordinator, or reached no targets), took them for true later in the term.

Evidence: the new test failed before: after two such reports and another claim of the term, an instance that reaches the targets again claimed 200 ms after that record. Found by reading; not seen with real processes.

Ruled out: to compare the log time of the claim only, since a coordinator that moves keys writes no claims; to let reports expire by time, since an instance that follows another gets no newer ones.

Change: each new record of the log ends what was reported before it. A process that has ended or is idle writes none, and two further reports take 0.4 s.

--- a/include/teaseltally/ownership/range_manager.hpp
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -384,8 +384,9 @@
     unsigned not_coordinator_reports_ = 0;
     /// Whether that session has been reported to have ended.
     bool reported_ended_ = false;
-    /// Term of the claim that the reports concern.
+    /// Term of the claim that the reports concern, and time at which the last record before them was read.
     log_position reported_term_;
+    time_point reported_record_at_{};
     /// Times since which the process named in the claim has been reported not to coordinate, and to have
     /// ended.
     std::optional<time_point> reported_idle_since_;
--- a/src/ownership/range_terms.cpp
+++ b/src/ownership/range_terms.cpp
@@ -105,9 +105,10 @@
 void range_manager::note_reports(time_point now, const ownership_log& log)
 {
     const auto& claim = log.claim();
-    // The same process may coordinate again.
-    if (log.term() != reported_term_) {
+    // The same process may coordinate again, or learn only then that its claim was appended.
+    if (log.term() != reported_term_ || log.last_record_at() != reported_record_at_) {
         reported_term_ = log.term();
+        reported_record_at_ = log.last_record_at();
         not_coordinator_reports_ = 0;
         reported_ended_ = false;
     }
--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -598,6 +598,46 @@
     CHECK(manager.tick(now, {log, directory, keyed, now, true}).empty());
 }
 
+// Guards against a role that is claimed without the wait for silence, which a coordinator relies on to keep
+// its term in a new era: reports from before it learnt that it coordinates counted for its whole term.
+TEST_CASE("reports that a coordinator does not coordinate say nothing once it has written another record")
+{
+    const auto start = time_point{std::chrono::hours{1}};
+    coordinator_claim claim{"n1", 1, "10.1.0.1:1"};
+    range_manager manager({"n2", 2, "10.1.0.2:1"}, {}, milliseconds{100});
+    ownership_log log;
+    const target_directory directory;
+    const std::vector<std::string> keyed;
+    auto now = start;
+    const auto tick = [&](bool reachable) {
+        manager.set_targets_reachable(reachable);
+        return manager.tick(now, {log, directory, keyed, now, true});
+    };
+    for (const bool with_claim : {true, false}) {
+        CAPTURE(with_claim);
+        claim.log_time += milliseconds{1000};
+        claim.began = claim.log_time;
+        log.apply(now, ownership_log::claim_key, encode(claim), log.position());
+        CHECK(tick(true).empty());
+        manager.record_coordinator_report(1, coordinator_report::idle);
+        manager.record_coordinator_report(1, coordinator_report::idle);
+        // Nothing is claimed while the targets are out of reach.
+        now += milliseconds{200};
+        CHECK(tick(false).empty());
+        claim.log_time += milliseconds{1000};
+        if (with_claim)
+            log.apply(now, ownership_log::claim_key, encode(claim), log.position());
+        else
+            log.apply(now, "service/ledger", encode(assignment{}), log.position());
+        now += milliseconds{200};
+        CHECK(tick(true).empty());
+        now += milliseconds{2300};
+        CHECK(tick(true).empty());
+    }
+    now += milliseconds{100};
+    CHECK(tick(true).size() == 1);
+}
+
 // Each new coordinator waits until the grants of former owners have expired. The wait must count from the
 // reassignment, not from the takeover; otherwise repeated takeovers keep the keys without a holder.
 TEST_CASE("repeated takeovers do not delay the grant of keys whose former owner has failed")
