Rely on no claim without an era where records may be lost

What callers see: nothing was seen with real processes; found by reading. While versions run side by side, the store returns from a copy, an earlier build coordinates and a newer instance that knows eras takes over. Keys that a target was given in the lost seconds could be granted to the owner in the copy as well.

Cause: a claim without an era counted as one of the era in which it is read, so that the log seemed to have begun the era. But builds that knew no eras ask no target to release keys, whenever they write. The same happened where such a build took over from a newer one that had not asked all targets yet: its claim has no mark `unsettled`.

Change: in an era after the first, only a claim that names an era begins it. So the first newer coordinator after an earlier build waits 2.5 s for a living one if it knows no earlier era, marks its claim and asks all targets.

Ruled out: to count such a claim as of the first era. That raises the fencing tokens too, and an earlier build that takes over again would give lower ones.

--- a/include/teaseltally/ownership/assignment.hpp
+++ b/include/teaseltally/ownership/assignment.hpp
@@ -253,11 +253,13 @@
     [[nodiscard]] const std::optional<coordinator_claim>& claim() const noexcept { return claim_; }
     /// Returns the term of the current coordinator: where the first record of its claim was written.
     [[nodiscard]] log_position term() const noexcept { return term_; }
-    /// Returns whether no claim was written in the current era and there may have been an earlier one, so
-    /// that records of the earlier one may be unknown.
+    /// Returns whether records of an earlier era may be unknown: there may have been one, and no claim of a
+    /// build that knows eras was written in the current one. Claims of builds that knew none don't count, as
+    /// these ask no target for keys that it was given in lost records.
     [[nodiscard]] bool begins_era() const noexcept
     {
-        return claim_ ? claim_written_.era < position_.era : position_.era > first_era;
+        return (claim_ && claim_written_.era < position_.era) ||
+               ((!claim_ || !claim_->era) && position_.era > first_era);
     }
     /// Returns whether a known assignment was not written in the current era.
     [[nodiscard]] bool has_assignment_of_earlier_era() const;
--- a/tests/store_era_tests.cpp
+++ b/tests/store_era_tests.cpp
@@ -540,6 +540,61 @@
     }
 }
 
+// Guards against a takeover from an earlier build that relies on what the store's copy says of the owners.
+TEST_CASE("a claim of a build that knew no eras shows in no later era that lost records are accounted for")
+{
+    for (const std::uint64_t era : {1, 2})
+        for (const bool knows_earlier_era : {false, true})
+            for (const bool follows_sweep : {false, true}) {
+                if ((knows_earlier_era || follows_sweep) && era == ownership_log::first_era)
+                    continue;
+                CAPTURE(era);
+                CAPTURE(knows_earlier_era);
+                CAPTURE(follows_sweep);
+                const bool may_lack_records = era > ownership_log::first_era;
+                told_instance instance;
+                for (const char* target : {"a", "b"})
+                    instance.directory.update({target, "ledger", "10.0.0.1:80", "a", 4, false, {}, 0, 1},
+                                              {1, 1});
+                if (knows_earlier_era)
+                    instance.log.apply(start, service_key, encode(owned_by("a", 1)), {1, 1});
+                // A newer build that ended before it had asked all targets.
+                if (follows_sweep)
+                    instance.log.apply(start, ownership_log::claim_key, claim_by(6, era, true), {era, 7});
+                instance.log.apply(start, service_key, encode(owned_by("a", 8)), {era, 8});
+                coordinator_claim claim{"n7", 7, "10.1.0.7:1"};
+                claim.resigned = true;
+                instance.log.apply(start, ownership_log::claim_key, encode(claim), {era, 9});
+                CHECK(instance.log.begins_era() == may_lack_records);
+                // The copy may lack the claim of another coordinator, which lives.
+                const bool waits = may_lack_records && !instance.log.knows_earlier_era();
+                auto actions = instance.tick(milliseconds{0});
+                CHECK(actions.empty() == waits);
+                if (actions.empty())
+                    actions = instance.tick(milliseconds{2600});
+                REQUIRE(actions.size() == 1);
+                const auto order = std::get<append_order>(actions.front());
+                instance.carry_out(order);
+                CHECK(instance.log.claim()->unsettled == may_lack_records);
+                CHECK_FALSE(instance.log.begins_era());
+                CHECK_FALSE(instance.log.has_assignment_of_earlier_era());
+                // The other target may have been given keys in the lost records.
+                bool asked = false;
+                bool granted_first = false;
+                for (int step = 0; step < 30; ++step)
+                    for (const auto& action : instance.tick(milliseconds{100})) {
+                        if (const auto* release = std::get_if<release_order>(&action))
+                            asked = asked || (release->target.id == "b" && release->keys == key_range{});
+                        else if (std::holds_alternative<grant_order>(action))
+                            granted_first = granted_first || !asked;
+                        else
+                            instance.carry_out(std::get<append_order>(action));
+                    }
+                CHECK(asked == may_lack_records);
+                CHECK(granted_first != may_lack_records);
+            }
+}
+
 TEST_CASE("only in an era that may follow another the first claim in an empty log waits and is marked")
 {
     for (const std::uint64_t era : {0, 1, 2}) {
