--- a/tests/earlier_version_tests.cpp
+++ b/tests/earlier_version_tests.cpp
@@ -189,3 +189,103 @@
         CHECK(quarantine.apply(record, start));
     CHECK(quarantine.crashes(8'589'934'592) == 1);
 }
+
+// Guards against members of this version in the place of earlier ones, or in rows whose size is checked.
+TEST_CASE("records and messages with all that this version adds keep what the earlier version reads")
+{
+    const std::string claim =
+        R"({"address":"127.0.0.1:3","elapsed":5,"instance":"a-1","resigned":true,"session":7})";
+    auto claimed = std::get<coordinator_claim>(decode_claim(claim));
+    CHECK_FALSE(claimed.era);
+    CHECK_FALSE(claimed.fence_origin);
+    CHECK_FALSE(claimed.began);
+    CHECK_FALSE(claimed.unsettled);
+    claimed.era = 2;
+    claimed.fence_origin = 1;
+    claimed.unsettled = true;
+    claimed.began = milliseconds{3};
+    CHECK(extends(encode(claimed), claim));
+
+    const std::string owned =
+        R"({"ranges":[[0,9,4,0,1,250]],"targets":[["t",3,"127.0.0.1:4"],["u",0,"127.0.0.1:5"]]})";
+    auto assigned = std::get<assignment>(decode_assignment(owned));
+    CHECK_FALSE(assigned.ranges().front().former_owners.front().grants_left);
+    assigned.set_grants_left(4, milliseconds{250},
+                             [](key_range, const target_incarnation&) { return milliseconds{6000}; });
+    const auto encoded = encode(assigned, 2);
+    CHECK(encoded.find("grants_left") != std::string::npos);
+    CHECK(extends(encoded, owned));
+
+    const std::string report =
+        R"({"coordinator":7,"instance":"a-1","instances":3,"load":{"s":[5,2]},"speed":{"t":[4,1,3,1200]}})";
+    auto reported = *decode_report(report);
+    reported.traffic.leaving.insert("t@3");
+    CHECK(encode(reported).find("leaving") != std::string::npos);
+    CHECK(extends(encode(reported), report));
+    CHECK(extends(encode(report_answer{3, {"t@3"}}), R"({"instances":3})"));
+}
+
+// Guards against updates that instances of the earlier version reject, or targets that they use too soon.
+TEST_CASE("an update has the earlier form and leaves out what the earlier version cannot hold back")
+{
+    asio::io_context io(1);
+    http_client client(io.get_executor(), {});
+    peer_feed::streams known;
+    for (auto& stream : known) {
+        stream.apply_snapshot({{"k", "v", {2, 3}}, {"l", "w", {2, 4}, true}}, {2, 5});
+        stream.mark_caught_up(boot_clock::now(), {2, 5});
+    }
+    peer_feed feed(io.get_executor(), client, {"a-1", "a", ""}, known,
+                   [](stream_kind, const stream_delta&) {});
+    const auto first_update = [&] {
+        std::optional<http_response> response;
+        run(io, [&]() -> asio::awaitable<void> {
+            response = co_await feed.handle_request(
+                make_request(boost::beast::http::verb::post, "/feed", "[null,null,null,null,null]"));
+        });
+        REQUIRE(response->result_int() == 200);
+        const auto updates = std::get<Json::Value>(parse_json(response->body(), "answer"));
+        CHECK(updates.size() == stream_kind_count);
+        return json_text(updates[0]);
+    };
+    CHECK(extends(first_update(), R"({"next":5,"records":[[3,"k","v"]],"snapshot":true})"));
+    for (auto& stream : known)
+        stream.confirm("l");
+    CHECK(extends(first_update(), R"({"next":5,"records":[[3,"k","v"],[4,"l","w"]],"snapshot":true})"));
+}
+
+// Guards against a second trial that the earlier version would take for one of the same content.
+TEST_CASE("the second trial of a content is a record in the earlier form, of another content")
+{
+    constexpr std::uint64_t content = 8'589'934'592;
+    const std::string records = R"([["trial|8589934594","claimed"]])";
+    const auto read = decode_crash_records(records);
+    REQUIRE(read);
+    CHECK(encode_crash_records(*read) == records);
+    crash_quarantine quarantine("a-2", {});
+    CHECK(quarantine.apply(read->front(), start));
+    CHECK(quarantine.crashes(content) == 0);
+    // An instance of the earlier version writes and removes the first one only.
+    CHECK(quarantine.apply({"trial|8589934592", "claimed"}, start));
+    CHECK(quarantine.apply({"trial|8589934592", std::nullopt}, start));
+}
+
+// Guards against callers that wait for an issuer that has none to ask.
+TEST_CASE("a coordinator that cannot ask the earlier one is taken as one that does not answer")
+{
+    asio::io_context io(1);
+    for (const unsigned status : {400U, 409U, 503U}) {
+        http_server server(
+            io.get_executor(), any_port, {},
+            [&](http_request) -> asio::awaitable<http_response> { co_return make_response(status, ""); });
+        http_client client(io.get_executor(), {});
+        permit_requester requester(client);
+        bool answered = true;
+        run(io, [&]() -> asio::awaitable<void> {
+            std::vector<permit_request> requests{{"t@0", {4, boot_clock::now()}, 1}};
+            coordinator_claim issuer{"a-1", 7, "127.0.0.1:" + std::to_string(server.local_endpoint().port())};
+            answered = (co_await requester.request(std::move(issuer), std::move(requests))).has_value();
+        });
+        CHECK_FALSE(answered);
+    }
+}
