--- a/tests/front_upgrade_tests.cpp
+++ b/tests/front_upgrade_tests.cpp
@@ -30,6 +30,8 @@
 /// Time that the store loses when it returns from a copy, and time that it is away before.
 constexpr milliseconds lost_time{3000};
 constexpr milliseconds away_time{700};
+/// Reads in 2 s that show that an instance reads the targets' registrations from the store itself.
+constexpr std::size_t min_reads_of_reader = 4;
 /// More than the number of records that a test can write.
 constexpr std::uint64_t highest_offset = 100'000;
 constexpr double limit_per_s = 4;
@@ -87,6 +89,11 @@
         newer.insert(front);
         site.fronts[front]->set_program(TEASELTALLY_FRONT);
     }
+    void set_earlier(std::size_t front)
+    {
+        newer.erase(front);
+        site.fronts[front]->set_program(older_front());
+    }
     /// Publishes a version of the configuration, with one route more or without.
     void configure(unsigned version, bool with_added)
     {
@@ -159,8 +166,8 @@
         load_stopped_ = true;
         co_await sleep_for(milliseconds{2500});
     }
-    /// Stops an instance as the platform does and starts the newer version in its place.
-    asio::awaitable<void> replace(std::size_t front)
+    /// Stops an instance as the platform does and starts the newer or the earlier version in its place.
+    asio::awaitable<void> replace(std::size_t front, bool by_newer = true)
     {
         auto& process = *site.fronts[front];
         stopped_.insert(front);
@@ -170,7 +177,10 @@
             co_await sleep_for(milliseconds{20});
         overran += process.has_ended() ? 0 : 1;
         process.kill();
-        set_newer(front);
+        if (by_newer)
+            set_newer(front);
+        else
+            set_earlier(front);
         process.start();
         co_await site.wait_until_ready(front);
         stopped_.erase(front);
@@ -187,6 +197,35 @@
         co_await site.wait_until_ready(front);
         stopped_.erase(front);
     }
+    /// Waits until lost keys must be served again, and then counts the requests of keyed and plain services.
+    /// @returns how many were served, and how many were sent.
+    asio::awaitable<std::pair<std::size_t, std::size_t>> served_after_recovery()
+    {
+        co_await sleep_for(key_recovery_time);
+        const auto from = boot_clock::now();
+        co_await sleep_for(milliseconds{3000});
+        const auto to = boot_clock::now() - milliseconds{1000};
+        std::pair<std::size_t, std::size_t> sum;
+        for (const auto service : {keyed, plain}) {
+            const auto [answered, sent] = served(service, from, to);
+            sum.first += answered;
+            sum.second += sent;
+        }
+        co_return sum;
+    }
+    /// Returns the instance of a version that reads the store most; nothing if none does.
+    asio::awaitable<std::optional<std::size_t>> find_reader(bool is_newer)
+    {
+        std::map<std::size_t, std::size_t> reads;
+        for (std::size_t front = 0; front < fronts; ++front)
+            reads[front] = site.store.calls(front).reads;
+        co_await sleep_for(milliseconds{2000});
+        std::pair<std::size_t, std::size_t> most{min_reads_of_reader, fronts};
+        for (auto& [front, count] : reads)
+            if (newer.contains(front) == is_newer)
+                most = std::max(most, {site.store.calls(front).reads - count, front});
+        co_return most.second == fronts ? std::nullopt : std::optional{most.second};
+    }
     /// Returns which instances coordinate according to their output, "e" for the earlier version.
     [[nodiscard]] std::string coordinating() const
     {
@@ -590,6 +629,102 @@
     CHECK(up.used_share(mixed_from, mixed_to) >= 0.7);
 }
 
+// Guards against records and positions of the newer version that the earlier one cannot go on from.
+TEST_CASE("machines are upgraded until a newer one coordinates, and rolled back: all guarantees hold")
+{
+    upgrade up;
+    std::string figures;
+    run(up.site.io, [&]() -> asio::awaitable<void> {
+        co_await up.site.start();
+        up.start_load();
+        co_await sleep_for(milliseconds{1500});
+        co_await up.name_limits();
+        // The earlier ones must be able to go on from what newer ones wrote.
+        auto coordinator = co_await up.wait_for_coordinator();
+        while (!up.newer.contains(coordinator)) {
+            co_await up.replace(coordinator);
+            co_await sleep_for(milliseconds{1500});
+            figures += up.coordinating() + " ";
+            coordinator = co_await up.wait_for_coordinator();
+        }
+        up.configure(3, true);
+        const auto applied = co_await up.time_until_added(up.all_fronts());
+        CHECK(applied <= config_apply);
+        up.drain(0);
+        co_await sleep_for(milliseconds{3000});
+        while (!up.newer.empty()) {
+            auto next = co_await up.wait_for_coordinator();
+            if (!up.newer.contains(next))
+                next = *up.newer.begin();
+            co_await up.replace(next, false);
+            co_await sleep_for(milliseconds{1500});
+            figures += up.coordinating() + " ";
+        }
+        const auto kept = co_await up.time_until_added(up.all_fronts());
+        CHECK(kept <= config_apply);
+        const auto [answered, sent] = co_await up.served_after_recovery();
+        figures += "; route in force after " + std::to_string(applied.count()) + " ms, after the rollback " +
+                   std::to_string(kept.count()) + " ms; from 5 s after the last replacement " +
+                   std::to_string(answered) + "/" + std::to_string(sent);
+        CHECK(sent > 0);
+        CHECK(answered == sent);
+        co_await up.stop_load();
+    });
+    MESSAGE("coordinating: " << figures);
+    up.check("rolled back");
+}
+
+// Guards against an end of a target or of an instance that reads the store, of which instances of the other
+// version do not hear.
+TEST_CASE("while both versions run, targets and instances that read the store end")
+{
+    upgrade up;
+    std::string figures;
+    run(up.site.io, [&]() -> asio::awaitable<void> {
+        for (const std::size_t front : {0, 3, 4})
+            up.site.fronts[front]->start();
+        co_await up.wait_for_coordinator();
+        for (const std::size_t front : {1, 2, 5}) {
+            up.set_newer(front);
+            up.site.fronts[front]->start();
+        }
+        for (std::size_t front = 0; front < fronts; ++front)
+            co_await up.site.wait_until_ready(front);
+        co_await sleep_for(milliseconds{1500});
+        up.start_load();
+        co_await sleep_for(milliseconds{1500});
+        co_await up.name_limits();
+        const auto count = [&](const std::string& what) -> asio::awaitable<void> {
+            const auto [answered, sent] = co_await up.served_after_recovery();
+            figures += "; " + what + " (" + up.coordinating() + "): " + std::to_string(answered) + "/" +
+                       std::to_string(sent);
+            CHECK(sent > 0);
+            CHECK(answered == sent);
+        };
+        up.target(keyed, 1).end(false);
+        up.target(plain, 1).end(false);
+        co_await count("two targets ended");
+        up.target(keyed, 2).end();
+        co_await count("one ended and came back");
+        unsigned version = 3;
+        for (const bool is_newer : {false, true}) {
+            const auto reader = co_await up.find_reader(is_newer);
+            if (!reader)
+                continue;
+            up.configure(version, version % 2 == 1);
+            up.target(keyed, is_newer ? 2 : 3).end();
+            co_await up.crash(*reader);
+            ++version;
+            co_await count(std::string{is_newer ? "newer" : "earlier"} + " reader " +
+                           std::to_string(*reader) + " killed beside the end of a target");
+        }
+        figures += "; versions " + std::to_string(version - 1);
+        co_await up.stop_load();
+    });
+    MESSAGE("served from 5 s on, while both versions run" << figures);
+    up.check("ends");
+}
+
 // Guards against a takeover between versions that gives keys to two targets.
 TEST_CASE("while both versions run, a coordinator of either takes over from one of the other")
 {
