Take no rejection by the store for its outage while others read it

Cause: an instance that the store rejects, and that reads it for its data centre, took the rejection for an outage although others read the store all the while. A removal within 1 s after that counts as a lapse, and the target is kept for 2.3 s, at its follower as well. A read of another instance proves that there is no outage, but comes every 1.7 s to 2.9 s, and 1.2 s without one was enough.

The new tests fail with the former logic, in 36 checks of the first and one of the second.

Ruled out: a request bound before, a pooled connection or a retry (the target was still in use); a registration that came back and a relay (no such lines).

Change: a read that another instance sent after the own calls began to fail, and that succeeded, shows for 2.9 s that the store rejects this instance only. Earlier reads of others don't count, so that an outage for all is noticed as soon as before. The line store_outage_ended is kept. The test of a rejected instance passes the time along with the age and checks the same.

--- a/include/teaseltally/knowledge/registration_expiry_tracker.hpp
+++ b/include/teaseltally/knowledge/registration_expiry_tracker.hpp
@@ -17,6 +17,10 @@
 struct registration_expiry_timing {
     /// Time for which calls to the store must fail without a success before the store counts as in an outage.
     milliseconds outage_threshold{1200};
+    /// Time after a read by another instance for which the store counts as rejecting this instance only. An
+    /// instance asks others once its streams are 1.3 s old, within 0.4 s, and waits 0.4 s for each; two may
+    /// know nothing newer.
+    milliseconds peer_read_validity{2900};
     /// Time after the end of an outage during which a removal counts as an expiry.
     milliseconds post_outage_window{1000};
     /// Time in which targets with an expired registration register again; the platform states about two
@@ -39,8 +43,10 @@
     bool on_read_success(time_point sent, time_point now);
     /// Records that another instance can read the store, even if the calls of this instance fail.
     /// @param age age of the other instance's data; ignored unless it is below `outage_threshold`.
-    void on_peer_read(milliseconds age);
-    /// Returns whether calls to the store have failed without a success for longer than `outage_threshold`.
+    /// @param now time when this instance learned of it.
+    void on_peer_read(milliseconds age, time_point now);
+    /// Returns whether calls to the store have failed without a success for longer than `outage_threshold`,
+    /// and no other instance is known to have read it meanwhile, within `peer_read_validity`.
     [[nodiscard]] bool in_outage(time_point now) const;
 
     /// Classifies the removal of a registration.
@@ -58,6 +64,8 @@
     registration_expiry_timing timing_;
     /// Time of the first failed call since the last success; nothing if the last call succeeded.
     std::optional<time_point> failing_since_;
+    /// Time of the last read of the store by another instance since the calls of this one began to fail.
+    std::optional<time_point> peer_read_at_;
     /// Time until which each target with an expired registration is retained, by target id.
     std::map<std::string, time_point> reregistration_deadlines_;
 };
--- a/src/knowledge/registration_expiry_tracker.cpp
+++ b/src/knowledge/registration_expiry_tracker.cpp
@@ -10,22 +10,29 @@
 
 bool registration_expiry_tracker::on_read_success(time_point sent, time_point now)
 {
-    if (!failing_since_ || sent <= *failing_since_)
+    if (failing_since_ && sent <= *failing_since_)
         return false;
     const bool ended = in_outage(now);
     failing_since_.reset();
+    peer_read_at_.reset();
     return ended;
 }
 
-void registration_expiry_tracker::on_peer_read(milliseconds age)
+void registration_expiry_tracker::on_peer_read(milliseconds age, time_point now)
 {
-    if (age < timing_.outage_threshold)
-        failing_since_.reset();
+    if (age >= timing_.outage_threshold)
+        return;
+    // A read that others sent before the calls of this instance failed may precede an outage.
+    const auto sent = now - age;
+    if (peer_read_at_ || (failing_since_ && sent > *failing_since_))
+        peer_read_at_ = sent;
+    failing_since_.reset();
 }
 
 bool registration_expiry_tracker::in_outage(time_point now) const
 {
-    return failing_since_ && now - *failing_since_ > timing_.outage_threshold;
+    const bool others_read = peer_read_at_ && now - *peer_read_at_ <= timing_.peer_read_validity;
+    return failing_since_ && now - *failing_since_ > timing_.outage_threshold && !others_read;
 }
 
 bool registration_expiry_tracker::on_removal(const std::string& target, time_point now,
--- a/tests/knowledge_tests.cpp
+++ b/tests/knowledge_tests.cpp
@@ -185,10 +185,76 @@
     registration_expiry_tracker tracker;
     tracker.on_call_failure(start);
     CHECK(tracker.in_outage(start + milliseconds{5000}));
-    tracker.on_peer_read(milliseconds{300});
+    tracker.on_peer_read(milliseconds{300}, start + milliseconds{5000});
     CHECK(tracker.on_removal("left", start + milliseconds{5000}, time_point{}));
 }
 
+// While its calls fail, an instance hears of the reads of others only every 2 s: it asks them once its
+// streams are 1.3 s old, one after the other. If the time in between counted as an outage, a target that
+// leaves when the store accepts the instance again would be retained for longer than it serves.
+TEST_CASE("an instance that the store has rejected sees no outage while others can read it")
+{
+    constexpr milliseconds peer_read_interval{2000};
+    constexpr milliseconds age{600};
+    constexpr milliseconds step{100};
+    registration_expiry_tracker tracker;
+    tracker.on_call_failure(start);
+    milliseconds elapsed{0};
+    for (; elapsed < 5 * peer_read_interval + peer_read_interval / 2; elapsed += step) {
+        const auto now = start + elapsed;
+        if ((elapsed + peer_read_interval / 2).count() % peer_read_interval.count() == 0)
+            tracker.on_peer_read(age, now);
+        tracker.on_call_failure(now);
+        INFO(elapsed.count());
+        CHECK(!tracker.in_outage(now));
+    }
+    const auto accepted = start + elapsed - step;
+    CHECK(!tracker.on_read_success(accepted, accepted + milliseconds{1}));
+    CHECK(tracker.on_removal("left", accepted + milliseconds{500}, time_point{}));
+}
+
+TEST_CASE("an outage of the store that follows reads of other instances is noticed")
+{
+    SUBCASE("as soon by one whose last read was earlier than theirs")
+    {
+        registration_expiry_tracker tracker;
+        tracker.on_call_failure(start);
+        tracker.on_peer_read(milliseconds{300}, start + milliseconds{200});
+        tracker.on_call_failure(start + milliseconds{500});
+        // The others are asked again, and their last reads are too old to count.
+        tracker.on_peer_read(milliseconds{1700}, start + milliseconds{1600});
+        CHECK(tracker.in_outage(start + milliseconds{1710}));
+        CHECK(!tracker.on_removal("lapsed", start + milliseconds{1710}, time_point{}));
+        CHECK(tracker.on_read_success(start + milliseconds{1800}, start + milliseconds{1800}));
+    }
+    SUBCASE("later by one that the store rejects meanwhile")
+    {
+        registration_expiry_tracker tracker;
+        tracker.on_call_failure(start);
+        tracker.on_peer_read(milliseconds{300}, start + milliseconds{800});
+        tracker.on_call_failure(start + milliseconds{900});
+        CHECK(!tracker.in_outage(start + milliseconds{3400}));
+        CHECK(tracker.in_outage(start + milliseconds{3410}));
+    }
+    SUBCASE("as soon by one that followed another")
+    {
+        registration_expiry_tracker tracker;
+        tracker.on_peer_read(milliseconds{100}, start);
+        tracker.on_call_failure(start + milliseconds{1300});
+        CHECK(!tracker.in_outage(start + milliseconds{2500}));
+        CHECK(tracker.in_outage(start + milliseconds{2510}));
+    }
+    SUBCASE("as soon by one that the store rejected before")
+    {
+        registration_expiry_tracker tracker;
+        tracker.on_call_failure(start);
+        tracker.on_peer_read(milliseconds{100}, start + milliseconds{500});
+        CHECK(!tracker.on_read_success(start + milliseconds{600}, start + milliseconds{600}));
+        tracker.on_call_failure(start + milliseconds{700});
+        CHECK(tracker.in_outage(start + milliseconds{1910}));
+    }
+}
+
 TEST_CASE("a removed target can register again")
 {
     target_directory directory;
