Start deployments of two versions in one place of the upgrade tests

Three cases wrote the same start of both versions, and of load and limits, again. No check and no time changes.

--- a/tests/front_upgrade_tests.cpp
+++ b/tests/front_upgrade_tests.cpp
@@ -333,6 +333,28 @@
         co_await sleep_for(stable_window);
         limits_from = boot_clock::now();
     }
+    /// Starts instances of both versions, so that in each data centre those of one version follow one of the
+    /// other. The older ones begin the log, as in an upgrade: see docs/PROTOCOL.md about an empty log.
+    asio::awaitable<void> start_mixed()
+    {
+        for (const std::size_t front : {0, 3, 4})
+            site.fronts[front]->start();
+        co_await wait_for_coordinator();
+        for (const std::size_t front : {1, 2, 5}) {
+            set_newer(front);
+            site.fronts[front]->start();
+        }
+        for (std::size_t front = 0; front < fronts; ++front)
+            co_await site.wait_until_ready(front);
+        co_await sleep_for(milliseconds{1500});
+    }
+    /// Starts the load, and then the limits.
+    asio::awaitable<void> start_limited_load()
+    {
+        start_load();
+        co_await sleep_for(milliseconds{1500});
+        co_await name_limits();
+    }
     /// Returns the most requests that a limited target got in a window.
     [[nodiscard]] std::ptrdiff_t most_in_window() const
     {
@@ -584,9 +606,7 @@
     time_point drained_at{};
     run(up.site.io, [&]() -> asio::awaitable<void> {
         co_await up.site.start();
-        up.start_load();
-        co_await sleep_for(milliseconds{1500});
-        co_await up.name_limits();
+        co_await up.start_limited_load();
         const auto replace_next = [&](bool coordinating) -> asio::awaitable<void> {
             const auto current = co_await up.wait_for_coordinator();
             std::vector<std::size_t> left;
@@ -636,9 +656,7 @@
     std::string figures;
     run(up.site.io, [&]() -> asio::awaitable<void> {
         co_await up.site.start();
-        up.start_load();
-        co_await sleep_for(milliseconds{1500});
-        co_await up.name_limits();
+        co_await up.start_limited_load();
         // The earlier ones must be able to go on from what newer ones wrote.
         auto coordinator = co_await up.wait_for_coordinator();
         while (!up.newer.contains(coordinator)) {
@@ -681,19 +699,8 @@
     upgrade up;
     std::string figures;
     run(up.site.io, [&]() -> asio::awaitable<void> {
-        for (const std::size_t front : {0, 3, 4})
-            up.site.fronts[front]->start();
-        co_await up.wait_for_coordinator();
-        for (const std::size_t front : {1, 2, 5}) {
-            up.set_newer(front);
-            up.site.fronts[front]->start();
-        }
-        for (std::size_t front = 0; front < fronts; ++front)
-            co_await up.site.wait_until_ready(front);
-        co_await sleep_for(milliseconds{1500});
-        up.start_load();
-        co_await sleep_for(milliseconds{1500});
-        co_await up.name_limits();
+        co_await up.start_mixed();
+        co_await up.start_limited_load();
         const auto count = [&](const std::string& what) -> asio::awaitable<void> {
             const auto [answered, sent] = co_await up.served_after_recovery();
             figures += "; " + what + " (" + up.coordinating() + "): " + std::to_string(answered) + "/" +
@@ -732,21 +739,8 @@
     std::map<std::string, unsigned> takeovers;
     std::string figures;
     run(up.site.io, [&]() -> asio::awaitable<void> {
-        // In each data centre, instances of one version follow one of the other.
-        // The older ones begin the log, as in an upgrade: see docs/PROTOCOL.md about an empty log.
-        for (const std::size_t front : {0, 3, 4})
-            up.site.fronts[front]->start();
-        co_await up.wait_for_coordinator();
-        for (const std::size_t front : {1, 2, 5}) {
-            up.set_newer(front);
-            up.site.fronts[front]->start();
-        }
-        for (std::size_t front = 0; front < fronts; ++front)
-            co_await up.site.wait_until_ready(front);
-        co_await sleep_for(milliseconds{1500});
-        up.start_load();
-        co_await sleep_for(milliseconds{1500});
-        co_await up.name_limits();
+        co_await up.start_mixed();
+        co_await up.start_limited_load();
         constexpr unsigned max_crashes = 12;
         std::set<bool> spoken;
         for (unsigned crash = 0;
@@ -788,16 +782,7 @@
         upgrade up;
         std::string figures;
         run(up.site.io, [&]() -> asio::awaitable<void> {
-            for (const std::size_t front : {0, 3, 4})
-                up.site.fronts[front]->start();
-            co_await up.wait_for_coordinator();
-            for (const std::size_t front : {1, 2, 5}) {
-                up.set_newer(front);
-                up.site.fronts[front]->start();
-            }
-            for (std::size_t front = 0; front < fronts; ++front)
-                co_await up.site.wait_until_ready(front);
-            co_await sleep_for(milliseconds{1500});
+            co_await up.start_mixed();
             constexpr unsigned max_crashes = 30;
             for (unsigned crash = 0; crash < max_crashes; ++crash) {
                 const auto current = co_await up.wait_for_coordinator();
@@ -806,9 +791,7 @@
                 co_await up.crash(current);
             }
             REQUIRE(coordinators_at_return.contains(co_await up.wait_for_coordinator()));
-            up.start_load();
-            co_await sleep_for(milliseconds{1500});
-            co_await up.name_limits();
+            co_await up.start_limited_load();
             co_await up.return_store();
             co_await sleep_for(up.replaced_at + key_recovery_time - boot_clock::now());
             const auto from = boot_clock::now();
