--- a/tests/store_client_tests.cpp
+++ b/tests/store_client_tests.cpp
@@ -280,9 +280,10 @@
 /// Follows topics for a time.
 /// @param applied whether snapshots are applied.
 /// @param topics number of topics; all have the same position.
+/// @param late_topics number of topics that are followed after 100 ms.
 /// @returns the requests.
 std::vector<std::string> follow_for(milliseconds time, std::deque<http_response> script, bool applied,
-                                    int topics = 1)
+                                    int topics = 1, int late_topics = 0)
 {
     read_retry_queue retries;
     asio::io_context io(1);
@@ -298,10 +299,16 @@
                           [](const stream_record&) {},
                           [](time_point, log_position) {},
                           [] {}};
-    for (int topic = 0; topic < topics; ++topic)
-        asio::co_spawn(
-            io, follow_topic(store.client, retries, "keyed.t", {milliseconds{0}, milliseconds{500}}, handler),
-            asio::detached);
+    const auto follow = [&](int count) {
+        for (int topic = 0; topic < count; ++topic)
+            asio::co_spawn(
+                io,
+                follow_topic(store.client, retries, "keyed.t", {milliseconds{0}, milliseconds{500}}, handler),
+                asio::detached);
+    };
+    follow(topics);
+    asio::steady_timer later(io, milliseconds{100});
+    later.async_wait([&](boost::system::error_code) { follow(late_topics); });
     io.run_for(time);
     return store.requests;
 }
@@ -346,6 +353,8 @@
     const auto failed = follow_for(milliseconds{1500}, {100, refusal}, true, topics).size();
     CHECK(failed >= topics + 3);
     CHECK(failed <= topics + 4);
+    // The store's answer to the first one is known when the others begin.
+    CHECK(follow_for(milliseconds{1500}, {100, refusal}, true, 1, topics - 1).size() <= 1 + 4);
     std::deque<http_response> script(topics + 1, refusal);
     for (int call = 0; call < 10 * topics; ++call)
         script.push_back(of_era(1, page(9)));
