--- a/include/teaseltally/net/target_node.hpp
+++ b/include/teaseltally/net/target_node.hpp
@@ -102,6 +102,10 @@
     /// @returns the connection, or null if the limit is reached.
     [[nodiscard]] std::unique_ptr<target_connection> acquire(time_point now, unsigned limit,
                                                              std::string_view request_id);
+    /// Returns whether a connection may be acquired: one is idle, or fewer than the limit are open.
+    /// @param limit maximum number of open connections.
+    /// @param request_id identifier of the request.
+    [[nodiscard]] bool may_acquire(unsigned limit, std::string_view request_id) const;
     /// Adds a connection to the idle connections, for reuse.
     void release(std::unique_ptr<target_connection> connection);
     /// Closes a connection.
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -236,6 +236,13 @@
     return std::make_unique<target_connection>(executor_);
 }
 
+bool target_node::may_acquire(unsigned limit, std::string_view request_id) const
+{
+    return open_connections_ < limit || std::ranges::any_of(idle_connections_, [&](const auto& connection) {
+               return connection->last_request_id != request_id;
+           });
+}
+
 void target_node::release(std::unique_ptr<target_connection> connection)
 {
     idle_connections_.push_back(std::move(connection));
