Send the owner of a key no more than it takes, and refuse at once what would be answered late

Causes: an instance sent an owner up to two requests per slot, whatever the others sent: 64 instances could have 768 requests at a target that takes 30. A reported queue of seconds counted as gone after 0.4 s. A reset or a refusal was no reason to pause, as the owner is the only target. Requests for a key with four times the load that its owner executes all waited until near the deadline, and were answered late.

The tests in knowledge_tests fail before: no share, no queue, no pause.

--- a/include/teaseltally/admission/target_load.hpp
+++ b/include/teaseltally/admission/target_load.hpp
@@ -29,6 +29,9 @@
 /// instance.
 class target_load {
 public:
+    /// Maximum number of requests at a target per slot; further requests wait in the instances.
+    static constexpr double max_requests_per_slot = 2.0;
+
     /// Creates the estimate of a target that has not responded yet.
     /// @param slots number of requests that the target executes concurrently; zero counts as one.
     /// @param expected_service service time assumed until the first response.
@@ -48,7 +51,8 @@
     /// target.
     microseconds on_response(time_point now, microseconds latency, double occupancy_at_start) noexcept;
     /// Records a refusal, which states that the request was not executed.
-    void on_refusal(time_point now) noexcept;
+    /// @param is_full whether the target counts as full, as the only one that can execute the request.
+    void on_refusal(time_point now, bool is_full) noexcept;
     /// Records a failed connection or a missing response. Starts or doubles the back-off.
     void on_failure(time_point now) noexcept;
     /// Applies a load report that a response of the target carried.
@@ -56,8 +60,23 @@
 
     /// Returns the estimated number of requests at the target, including those of other instances.
     [[nodiscard]] double occupancy(time_point now) const noexcept;
-    /// Returns the expected latency of one more request, including the time that it is queued.
+    /// Returns the expected latency of one more request that the target accepts, including the time that it
+    /// is queued.
+    [[nodiscard]] microseconds queueing_latency(time_point now) const noexcept;
+    /// Returns the expected latency of one more request. It is higher if the target refuses requests, since
+    /// they then have to be sent again.
     [[nodiscard]] microseconds expected_latency(time_point now) const noexcept;
+    /// Returns whether a request may be sent to the target if no other target can execute it: the target has
+    /// room, it is in no back-off, and this instance has no more requests there than its share. Instances
+    /// that have had no response yet know nothing of each other's requests; without the share, all of them
+    /// together would fill the queue of the target many times.
+    /// @param instances number of instances that send requests to the target, at least 1.
+    [[nodiscard]] bool has_room_in_share(time_point now, unsigned instances) const noexcept;
+    /// Returns whether one more request would find the target with at most `max_requests_per_slot` requests.
+    [[nodiscard]] bool has_room(time_point now) const noexcept
+    {
+        return occupancy(now) + 1 <= slots_ * max_requests_per_slot;
+    }
     /// Returns whether requests may be sent. The target must not be stalled nor in back-off after a failure;
     /// after the back-off, one request at a time is allowed until a response arrives.
     [[nodiscard]] bool usable(time_point now) const noexcept;
@@ -80,6 +99,8 @@
     void set_cold_until(time_point until) noexcept { cold_until_ = until; }
 
 private:
+    void set_external_occupancy(time_point now, double requests) noexcept;
+
     unsigned slots_;
     double service_us_;
     /// Number of responses; the first ones have more weight in the average service time.
@@ -87,6 +108,8 @@
     unsigned in_flight_ = 0;
     /// Number of requests of other instances at the target, according to its last report.
     double external_occupancy_ = 0;
+    /// Time constant of the decay of `external_occupancy_`, in microseconds.
+    double report_decay_us_ = 1;
     time_point reported_at_{};
     /// Time of the last response or refusal, or of the first request after the target was idle.
     time_point last_progress_at_{};
--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -116,8 +116,12 @@
     time_point deadline{};
     /// Attempts in the order of their starts.
     std::vector<std::shared_ptr<routed_attempt>> attempts;
+    /// Owner of the key for which the request waits; null if it does not.
+    std::shared_ptr<target_node> awaited_owner;
     /// Number of attempts, without those that could not connect.
     unsigned sends = 0;
+    /// Time from which a further attempt may start although the last one has not ended.
+    time_point hedge_at = time_point::max();
     /// Number of attempts that ended without a response although the target may have executed the request.
     unsigned unknown_outcomes = 0;
     /// Incarnations of the limited targets of which one must grant a permit, the preferred one first.
@@ -279,10 +283,11 @@
     class routing_guard;
     class waiting_guard;
     class attempts_guard;
-    /// Time from the arrival of a request after which it is sent to the new owner of its range even if the
-    /// grant to the new owner has not been observed, and for which requests wait until the keys of a leaving
-    /// target have moved.
+    /// Time for which requests wait until the keys of a leaving target have moved.
     static constexpr milliseconds max_handover_time{1000};
+    /// Time after the reassignment of a range from which requests are sent to its new owner even if the grant
+    /// to the new owner has not been observed. A release is answered when the work in progress has ended.
+    static constexpr milliseconds max_grant_delay{2000};
     /// Interval between probes of the links while no target can be reached.
     static constexpr milliseconds link_probe_interval{500};
 
@@ -320,8 +325,9 @@
     void begin_isolation();
     /// Returns the response to a relayed request if this instance cannot reach its target.
     [[nodiscard]] std::optional<http_response> decline(routed_request& request) const;
-    [[nodiscard]] bool should_start_attempt(const routed_request& request, time_point now,
-                                            time_point hedge_at) const;
+    [[nodiscard]] bool should_start_attempt(const routed_request& request, time_point now) const;
+    /// Returns whether the route allows no further attempt at a request.
+    [[nodiscard]] bool has_used_attempts(const routed_request& request) const;
     enum class attempt_start { started, blocked, permit_needed };
     /// Starts an attempt at the target that `choose_target` returns.
     /// @returns whether it started, or whether it may after permits for `request.limited_targets` were
@@ -419,6 +425,10 @@
     [[nodiscard]] unsigned connection_limit(const std::string& service) const;
     void wake_waiting(service_state& state);
     void enqueue(routed_request& request, service_state& state);
+    /// Sets the owner for which a request waits.
+    static void await_owner(routed_request& request, std::shared_ptr<target_node> owner);
+    /// Returns whether the owner of a request's key is overloaded, so that the answer would be late.
+    [[nodiscard]] bool comes_too_late(const routed_request& request) const;
     static void dequeue(routed_request& request, service_state& state);
 
     asio::any_io_executor executor_;
--- a/include/teaseltally/net/target_node.hpp
+++ b/include/teaseltally/net/target_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <teaseltally/admission/crash_quarantine.hpp>
+#include <teaseltally/admission/owner_queue.hpp>
 #include <teaseltally/admission/target_load.hpp>
 #include <teaseltally/admission/target_statements.hpp>
 #include <teaseltally/knowledge/target_directory.hpp>
@@ -77,6 +78,8 @@
     void update(target_entry entry, time_point now);
     /// Returns the load of the target as estimated by this instance.
     [[nodiscard]] target_load& load() noexcept { return load_; }
+    /// Returns the queue of this instance's requests for keys that only the target can execute.
+    [[nodiscard]] owner_queue& queue() noexcept { return queue_; }
     /// Returns what the target has said about itself.
     [[nodiscard]] target_statements& statements() noexcept { return *statements_; }
     [[nodiscard]] const target_statements& statements() const noexcept { return *statements_; }
@@ -146,6 +149,7 @@
     std::string incarnation_;
     tcp_endpoint endpoint_;
     target_load load_;
+    owner_queue queue_;
     /// Time since which the registration says that the target is leaving, if it says so.
     std::optional<time_point> draining_since_;
     std::shared_ptr<target_statements> statements_;
--- a/include/teaseltally/teaseltally.hpp
+++ b/include/teaseltally/teaseltally.hpp
@@ -55,6 +55,7 @@
 #include <teaseltally/knowledge/traffic_report.hpp>
 
 #include <teaseltally/admission/crash_quarantine.hpp>
+#include <teaseltally/admission/owner_queue.hpp>
 #include <teaseltally/admission/retry_token_bucket.hpp>
 #include <teaseltally/admission/target_load.hpp>
 #include <teaseltally/admission/target_rate_limits.hpp>
--- a/src/admission/target_load.cpp
+++ b/src/admission/target_load.cpp
@@ -8,8 +8,14 @@
 namespace teaseltally {
 namespace {
 
-/// Time constant of the exponential decay of a load report: a few service times of current targets.
-constexpr double report_decay_us = 400'000;
+/// Minimum time constant of the exponential decay of a load report: a few service times of fast targets. A
+/// report of a queue that takes longer to be executed decays in that time.
+constexpr double min_report_decay_us = 400'000;
+/// Number of requests per slot assumed at a target that counts as full.
+constexpr double full_requests_per_slot = 3.0;
+/// Factor on an instance's equal share of the requests at a target, since callers are not spread evenly over
+/// the instances.
+constexpr double share_allowance = 2.0;
 /// Weight of one response in the average service time.
 constexpr double sample_weight = 0.15;
 /// Weight of the response to a request that was queued at the target, since its queueing time is unknown.
@@ -79,14 +85,19 @@
     return microseconds{static_cast<std::int64_t>(sample)};
 }
 
-void target_load::on_refusal(time_point now) noexcept
+void target_load::on_refusal(time_point now, bool is_full) noexcept
 {
     last_progress_at_ = now;
+    if (is_full && occupancy(now) < slots_ * full_requests_per_slot)
+        set_external_occupancy(now, slots_ * full_requests_per_slot - in_flight_);
     refusal_rate_ += (1.0 - refusal_rate_) * refusal_weight;
 }
 
 void target_load::on_failure(time_point now) noexcept
 {
+    // Requests that fail together show one failure.
+    if (now < backoff_until_)
+        return;
     const auto backoff = initial_backoff * (1U << std::min(consecutive_failures_, max_backoff_doublings));
     ++consecutive_failures_;
     backoff_until_ = now + std::min(backoff, max_backoff);
@@ -96,31 +107,49 @@
 {
     const double total = report.running + report.waiting;
     // The target no longer counts the request whose response carries the report.
-    external_occupancy_ = std::max(0.0, total - std::max(0.0, static_cast<double>(in_flight_) - 1));
-    reported_at_ = now;
     slots_ = report.slots;
+    set_external_occupancy(now, total - std::max(0.0, static_cast<double>(in_flight_) - 1));
+}
+
+void target_load::set_external_occupancy(time_point now, double requests) noexcept
+{
+    external_occupancy_ = std::max(0.0, requests);
+    report_decay_us_ = std::max(min_report_decay_us, service_us_ * external_occupancy_ / slots_);
+    reported_at_ = now;
 }
 
 double target_load::occupancy(time_point now) const noexcept
 {
     const auto age = static_cast<double>((now - reported_at_).count());
-    return in_flight_ + external_occupancy_ * std::exp(-age / report_decay_us);
+    return in_flight_ + external_occupancy_ * std::exp(-age / report_decay_us_);
 }
 
-microseconds target_load::expected_latency(time_point now) const noexcept
+microseconds target_load::queueing_latency(time_point now) const noexcept
 {
     const double queueing = std::max(1.0, (occupancy(now) + 1) / slots_);
-    double expected = service_us_ * queueing * (1 + refusal_rate_ * refusal_penalty);
-    if (now < cold_until_)
-        expected *= cold_factor;
+    const double expected = service_us_ * queueing * (now < cold_until_ ? cold_factor : 1);
     return microseconds{static_cast<std::int64_t>(expected)};
 }
 
+microseconds target_load::expected_latency(time_point now) const noexcept
+{
+    const auto expected = static_cast<double>(queueing_latency(now).count());
+    return microseconds{static_cast<std::int64_t>(expected * (1 + refusal_rate_ * refusal_penalty))};
+}
+
 bool target_load::usable(time_point now) const noexcept
 {
     return now >= backoff_until_ && !(consecutive_failures_ > 0 && in_flight_ > 0) && !stalled(now);
 }
 
+bool target_load::has_room_in_share(time_point now, unsigned instances) const noexcept
+{
+    const double equal_share = slots_ * max_requests_per_slot / instances;
+    // Requests without progress may have been lost, so that they take no room.
+    const double share = std::max(1.0, std::ceil(equal_share * share_allowance)) + (stalled(now) ? 1 : 0);
+    return now >= backoff_until_ && in_flight_ + 1 <= share && has_room(now);
+}
+
 bool target_load::stalled(time_point now) const noexcept
 {
     const microseconds limit{static_cast<std::int64_t>(service_us_ * stall_service_times)};
--- a/src/net/request_attempts.cpp
+++ b/src/net/request_attempts.cpp
@@ -162,7 +162,7 @@
         if (!result.connected)
             load.on_failure(now);
         else if (!result.held_back)
-            load.on_refusal(now);
+            load.on_refusal(now, request.key && !result.statement.load);
         break;
     case exchange_status::misdirected:
         record_misdirection(request, attempt);
--- a/src/net/request_choice.cpp
+++ b/src/net/request_choice.cpp
@@ -5,8 +5,6 @@
 namespace teaseltally {
 namespace {
 
-/// Maximum number of requests at a target per slot; further requests wait in this instance.
-constexpr double max_requests_per_slot = 2.0;
 /// Cost of sending a request to another data centre, as a share of the target latency of its route.
 constexpr double data_centre_crossing_share = 0.5;
 /// Share of the connection limit of a service that all instances together use.
@@ -51,8 +49,10 @@
     const auto* owners = ownership_ == nullptr ? nullptr : ownership_->find(request.service);
     const auto* range = owners == nullptr ? nullptr : owners->find(*request.key);
     // A range that lists former owners has not been granted to its new owner yet.
-    if (range == nullptr || (granted && !range->former_owners.empty() &&
-                             boot_clock::now() - request.received_at < max_handover_time))
+    if (range == nullptr ||
+        (granted && !range->former_owners.empty() &&
+         boot_clock::now() - ownership_->latest_reassignment_time(*range, range->former_owners.back()) <
+             max_grant_delay))
         return nullptr;
     const auto found = targets_.find(range->owner.id);
     if (found == targets_.end() || found->second->entry().service != request.service)
@@ -76,7 +76,7 @@
     auto& load = node.load();
     if (!node.statements().may_send(now))
         return false;
-    return (keyed || load.usable(now)) && load.occupancy(now) + 1 <= load.slots() * max_requests_per_slot;
+    return keyed ? load.has_room_in_share(now, instance_count_) : load.usable(now) && load.has_room(now);
 }
 
 std::shared_ptr<target_node> request_router::choose_target(const routed_request& request,
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -339,6 +339,31 @@
 void request_router::dequeue(routed_request& request, service_state& state)
 {
     state.waiting.remove(&request);
+    await_owner(request, nullptr);
+}
+
+void request_router::await_owner(routed_request& request, std::shared_ptr<target_node> owner)
+{
+    if (request.awaited_owner == owner)
+        return;
+    if (request.awaited_owner)
+        request.awaited_owner->queue().on_dequeued();
+    request.awaited_owner = std::move(owner);
+    if (request.awaited_owner)
+        request.awaited_owner->queue().on_enqueued();
+}
+
+bool request_router::comes_too_late(const routed_request& request) const
+{
+    const microseconds target_latency = request.matched_route->target_latency;
+    if (!request.key || request.awaited_owner || !request.attempts.empty() || target_latency.count() == 0)
+        return false;
+    const auto owner = owner_of(request);
+    if (!owner)
+        return false;
+    const auto now = boot_clock::now();
+    const auto limit = std::max(target_latency - owner->load().queueing_latency(now), target_latency / 4);
+    return owner->queue().is_overloaded(now, limit, target_latency);
 }
 
 http_response request_router::make_failure_response(routed_request& request, std::string cause,
@@ -355,11 +380,17 @@
 
 time_point request_router::next_hedge_time(const routed_request& request, service_state& state) const
 {
-    if (request.matched_route->semantics == execution_semantics::at_most_once || request.key)
+    if (request.matched_route->semantics == execution_semantics::at_most_once)
         return time_point::max();
-    const auto service = static_cast<double>(state.service_time.count()) * hedge_service_times;
+    const auto now = boot_clock::now();
+    // A request at the only target that can execute it may be queued there for longer than at others.
+    const auto expected =
+        request.key
+            ? std::max(state.service_time, request.attempts.back()->target->load().queueing_latency(now))
+            : state.service_time;
+    const auto service = static_cast<double>(expected.count()) * hedge_service_times;
     const auto half_target_latency = microseconds{request.matched_route->target_latency} / 2;
-    return boot_clock::now() + std::max(microseconds{std::llround(service)}, half_target_latency);
+    return now + std::max(microseconds{std::llround(service)}, half_target_latency);
 }
 
 microseconds request_router::expected_wait(const routed_request& request, service_state& state) const
@@ -371,12 +402,25 @@
     if (!owner)
         return microseconds{0};
     const auto now = boot_clock::now();
-    const auto expected = owner->load().expected_latency(now) - owner->load().service_time();
-    return std::max(expected, microseconds{0});
+    const auto expected = owner->load().queueing_latency(now) - owner->load().service_time();
+    return std::max(expected, owner->queue().expected_wait());
 }
 
-bool request_router::should_start_attempt(const routed_request& request, time_point now,
-                                          time_point hedge_at) const
+bool request_router::has_used_attempts(const routed_request& request) const
+{
+    const auto limit = request.matched_route->max_attempts;
+    if (request.sends >= limit + extra_sends_after_refusal)
+        return true;
+    if (request.unknown_outcomes < limit)
+        return false;
+    // The limit of a route is one of targets. The owner of a key may get a request again.
+    const bool same_target = std::ranges::all_of(request.attempts, [&](const auto& attempt) {
+        return attempt->target == request.attempts.front()->target;
+    });
+    return !request.key || !same_target || request.earlier_sends > 0;
+}
+
+bool request_router::should_start_attempt(const routed_request& request, time_point now) const
 {
     const auto running =
         std::ranges::count_if(request.attempts, [](const auto& attempt) { return !attempt->ended; });
@@ -387,8 +431,10 @@
     if (running > 1 || request.matched_route->semantics == execution_semantics::at_most_once ||
         request.sends >= request.matched_route->max_attempts || is_last_crash_tolerated(request))
         return false;
-    if (!request.key || is_isolated())
-        return now >= hedge_at || is_isolated();
+    if (now >= request.hedge_at || is_isolated())
+        return true;
+    if (!request.key)
+        return false;
     const auto owner = owner_of(request);
     return owner && owner != request.attempts.back()->target;
 }
@@ -412,6 +458,8 @@
         static_cast<void>(permits_->use_permit(target->incarnation(), now));
     if (request->needs_retry_token())
         static_cast<void>(state.retry_budget.try_withdraw());
+    if (request->key)
+        target->queue().on_sent(now);
     dequeue(*request, state);
     start_attempt(request, target, std::move(connection));
     return attempt_start::started;
@@ -421,7 +469,6 @@
 request_router::run_attempts(std::shared_ptr<routed_request> request)
 {
     auto& state = state_of(request->service);
-    auto hedge_at = time_point::max();
     while (true) {
         const auto now = boot_clock::now();
         for (std::size_t index = 0; index < request->attempts.size(); ++index)
@@ -440,7 +487,7 @@
             request->may_have_executed = request->may_have_executed || running;
             co_return make_failure_response(*request, "deadline exceeded", min_retry_after);
         }
-        if (should_start_attempt(*request, now, hedge_at)) {
+        if (should_start_attempt(*request, now)) {
             if (quarantined_fingerprint(*request) && !running && !request->is_trial) {
                 request->is_trial = request->sends == 0 && co_await claim_trial(request, state);
                 if (!request->is_trial)
@@ -448,9 +495,8 @@
                 // The caller may have left, or the deadline may have passed, during the claim.
                 continue;
             }
-            if (request->unknown_outcomes >= request->matched_route->max_attempts ||
-                (request->unknown_outcomes > 0 && is_last_crash_tolerated(*request)) ||
-                request->sends >= request->matched_route->max_attempts + extra_sends_after_refusal) {
+            if (has_used_attempts(*request) ||
+                (request->unknown_outcomes > 0 && is_last_crash_tolerated(*request))) {
                 if (const auto held = hold_back_of(*request, state); held && !running)
                     co_return make_hold_back_response(*request, *held);
                 co_return make_failure_response(*request, request->cause,
@@ -471,7 +517,7 @@
             }
             const auto start = is_isolated() ? attempt_start::blocked : try_start_attempt(request, state);
             if (start == attempt_start::started)
-                hedge_at = next_hedge_time(*request, state);
+                request->hedge_at = next_hedge_time(*request, state);
             if (start == attempt_start::permit_needed)
                 co_await request_permits_(request->limited_targets);
             if (start != attempt_start::blocked)
@@ -480,18 +526,24 @@
                 if (const auto held = hold_back_of(*request, state))
                     co_return make_hold_back_response(*request, *held);
                 const auto wait = expected_wait(*request, state);
-                if (now + wait + state.service_time / 2 > request->deadline)
-                    co_return make_failure_response(*request, "expected wait exceeds the deadline",
+                const bool too_late = comes_too_late(*request);
+                if (too_late || now + wait + state.service_time / 2 > request->deadline)
+                    co_return make_failure_response(*request,
+                                                    too_late ? "the owner of the key is overloaded"
+                                                             : "expected wait exceeds the deadline",
                                                     std::chrono::duration_cast<milliseconds>(wait));
                 if (!has_token)
                     co_return make_failure_response(
                         *request, "retry budget exhausted",
                         std::chrono::duration_cast<milliseconds>(state.service_time));
                 enqueue(*request, state);
+                if (request->key)
+                    await_owner(*request, owner_of(*request));
             }
         }
         const auto recheck_at = now + recheck_interval;
-        const auto next_start = running && !request->key && now < hedge_at ? hedge_at : recheck_at;
+        const auto next_start =
+            running && !request->key && now < request->hedge_at ? request->hedge_at : recheck_at;
         static_cast<void>(co_await request->wake.wait_until(std::min(request->deadline, next_start)));
     }
 }
@@ -517,6 +569,7 @@
                  .add("id", request->id)
                  .add("fingerprint", request->fingerprints.caller)
                  .add("service", request->service)
+                 .add("key", request->key ? std::to_string(*request->key) : "")
                  .add("status", status)
                  .add("cause", request->cause)
                  .add("target", request->attempts.empty() ? "" : request->attempts.back()->target->entry().id)
--- a/tests/knowledge_tests.cpp
+++ b/tests/knowledge_tests.cpp
@@ -1,3 +1,4 @@
+#include <teaseltally/admission/owner_queue.hpp>
 #include <teaseltally/admission/retry_token_bucket.hpp>
 #include <teaseltally/admission/target_load.hpp>
 #include <teaseltally/knowledge/record_stream.hpp>
@@ -68,6 +69,92 @@
         CHECK(!parse_reported_load(bad));
 }
 
+// Guards against instances that each fill the owner of a hot key with requests before the first response says
+// how many the others have sent: hundreds arrived at a target that takes 30, and those that it never answered
+// were waited for until their deadlines.
+TEST_CASE("instances that know nothing of each other send the owner of a hot key about as much as it takes")
+{
+    constexpr unsigned slots = 6;
+    for (const unsigned instances : {4U, 12U, 64U}) {
+        CAPTURE(instances);
+        unsigned sent = 0;
+        for (unsigned instance = 0; instance < instances; ++instance) {
+            target_load load(slots, milliseconds{390});
+            const time_point now{std::chrono::hours{1}};
+            for (int request = 0; request < 20 && load.has_room_in_share(now, instances); ++request, ++sent)
+                load.on_request_sent(now);
+        }
+        CHECK(sent >= 2 * slots);
+        CHECK(sent <= std::max(6 * slots, instances));
+    }
+}
+
+TEST_CASE("the queue that an owner reports counts for as long as its execution takes")
+{
+    target_load load(4, milliseconds{400});
+    time_point now{std::chrono::hours{1}};
+    load.on_request_sent(now);
+    load.on_load_report(now, {4, 20, 4});
+    load.on_request_ended();
+    CHECK_FALSE(load.has_room_in_share(now + milliseconds{1000}, 1));
+    CHECK(load.has_room_in_share(now + milliseconds{4000}, 1));
+}
+
+TEST_CASE("an owner that refuses a request without a report counts as full for a moment")
+{
+    target_load load(4, milliseconds{100});
+    const time_point now{std::chrono::hours{1}};
+    load.on_refusal(now, true);
+    CHECK_FALSE(load.has_room_in_share(now, 1));
+    CHECK(load.has_room_in_share(now + milliseconds{500}, 1));
+}
+
+// Guards against a second request to a target 5 ms after its full queue has reset the first.
+TEST_CASE(
+    "an owner that resets connections gets the next request after a pause, and several failures count once")
+{
+    target_load load(4, milliseconds{100});
+    const time_point now{std::chrono::hours{1}};
+    for (int failure = 0; failure < 5; ++failure)
+        load.on_failure(now);
+    CHECK_FALSE(load.has_room_in_share(now + milliseconds{100}, 1));
+    CHECK(load.has_room_in_share(now + milliseconds{200}, 1));
+}
+
+// Guards against a key with four times the requests that its owner executes, all of which were answered late.
+TEST_CASE("a queue for an owner is overloaded if the wait stays too long, not while it forms or keys move")
+{
+    time_point now{std::chrono::hours{1}};
+    constexpr milliseconds limit{400};
+    constexpr milliseconds patience{1200};
+    owner_queue moving;
+    for (int request = 0; request < 50; ++request, now += milliseconds{50}) {
+        moving.on_enqueued();
+        CHECK_FALSE(moving.is_overloaded(now, limit, patience));
+    }
+    owner_queue hot;
+    std::optional<time_point> overloaded_at;
+    const auto start = now;
+    for (int request = 0; request < 200 && !overloaded_at; ++request, now += milliseconds{25}) {
+        if (hot.is_overloaded(now, limit, patience))
+            overloaded_at = now;
+        hot.on_enqueued();
+        if (request % 4 == 3) {
+            hot.on_sent(now);
+            hot.on_dequeued();
+        }
+    }
+    REQUIRE(overloaded_at);
+    CHECK(*overloaded_at - start >= patience);
+    CHECK(*overloaded_at - start <= 2 * patience);
+    while (hot.expected_wait().count() > 0) {
+        hot.on_sent(now);
+        hot.on_dequeued();
+        now += milliseconds{100};
+    }
+    CHECK_FALSE(hot.is_overloaded(now, limit, patience));
+}
+
 // If stalled targets were usable, a target that accepts requests but never responds would keep receiving
 // them.
 TEST_CASE("a stalled target is not usable until it responds")
