Let the number of moves in a rebalancing round follow the number of ranges

Cause: after several changes of the busy keys the load of a target lies in some sixty ranges, each move takes the load of one, and 25 targets allowed six moves in a round.

--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -8,8 +8,9 @@
 /// Capacity of a target whose rate limit is lower, in requests per second; capacities must not be zero.
 constexpr double min_limited_capacity = 0.1;
 
-/// Number of targets of a service for each move of a rebalancing round.
-constexpr std::size_t targets_per_move = 4;
+/// Number of ranges of a service for each move of a rebalancing round. The load of a target may lie in many
+/// ranges, each of which takes a move of its own.
+constexpr std::size_t ranges_per_move = 20;
 /// Share of a target's room that is filled with a load that is still rising.
 constexpr double surge_fill_share = 0.5;
 
@@ -389,7 +390,7 @@
     auto& next_dominant_move_at = next_dominant_move_times_[service];
     limits.allow_dominant_key_moves = now >= next_dominant_move_at;
     const auto& load = loads_[service];
-    limits.max_moves = std::max(limits.max_moves, targets.size() / targets_per_move);
+    limits.max_moves = std::max(limits.max_moves, current.ranges().size() / ranges_per_move);
     auto surge_limits = limits;
     surge_limits.fill_share = surge_fill_share;
     auto moves = rebalance_load(current, targets, load.surge, surge_limits);
