--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
-#include <ranges>
 
 using namespace teaseltally;
 using namespace teaseltally::test;
@@ -272,7 +271,10 @@
         std::map<std::string, double> rates;
         for (key_number key = first; key < first + hot_keys; ++key)
             rates[site.log.find("ledger")->find(key)->owner.id] += rate_of_key;
-        return std::ranges::max(rates | std::views::values);
+        double highest = 0;
+        for (const auto& [target, rate] : rates)
+            highest = std::max(highest, rate);
+        return highest;
     };
     const auto load_for = [&](int steps) {
         for (int step = 0; step < steps; ++step) {
