Test uploads that begin or end at each tenth of the grace of a stopping instance

Operators of similar systems reported that requests which came late in the grace were taken, passed on and cut off with no answer (LOST). Here requests are taken for 3 s after SIGTERM; one that is complete only later gets 503 and the end of its connection. The tests had small requests over new connections; this one sends bodies of 200 KB, whole or in two parts 0.9 s apart, over connections that have carried a request.

--- a/tests/front_stop_tests.cpp
+++ b/tests/front_stop_tests.cpp
@@ -2,8 +2,10 @@
 
 #include <teaseltally/ownership/range_manager.hpp>
 
+#include <boost/asio/write.hpp>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <sstream>
 
 using namespace teaseltally;
 using namespace teaseltally::test;
@@ -35,6 +37,45 @@
     request.status = failed ? 0 : response.result_int();
 }
 
+/// Sends a request with a large body over a connection that has carried one before, the body in two parts.
+/// @param delay time after the first request at which the second begins.
+/// @param pause time between the parts of its body.
+asio::awaitable<void> upload_after(tcp_endpoint front, milliseconds delay, milliseconds pause,
+                                   late_request& request)
+{
+    constexpr std::size_t body_size = 200'000;
+    boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_after(std::chrono::seconds{30});
+    boost::beast::flat_buffer buffer;
+    if (const auto [failed] = co_await stream.async_connect(front, as_result); failed)
+        co_return;
+    http_response first;
+    const auto earlier = message_of({request.id + "-first"}, 12'000);
+    if (const auto [failed, size] = co_await http::async_write(stream, earlier, as_result); failed)
+        co_return;
+    if (const auto [failed, size] = co_await http::async_read(stream, buffer, first, as_result); failed)
+        co_return;
+    co_await sleep_for(delay);
+    auto message = message_of({request.id}, 12'000);
+    message.method(http::verb::post);
+    message.body() = std::string(body_size, 'u');
+    message.prepare_payload();
+    std::ostringstream written;
+    written << message;
+    const auto text = written.str();
+    const std::size_t half = text.size() / 2;
+    for (const auto& part : {text.substr(0, half), text.substr(half)}) {
+        if (const auto [failed, size] = co_await asio::async_write(stream, asio::buffer(part), as_result);
+            failed)
+            break;
+        co_await sleep_for(pause);
+    }
+    http_response response;
+    const auto [failed, size] = co_await http::async_read(stream, buffer, response, as_result);
+    request.answered = !failed;
+    request.status = failed ? 0 : response.result_int();
+}
+
 /// Restarts an instance a while after its process has ended.
 asio::awaitable<void> restart_after_end(deployment& site, std::size_t front)
 {
@@ -186,6 +227,44 @@
     }
 }
 
+// Guards against requests that come late in the grace over connections in use, or whose bodies do, and that
+// are passed on and cut off with no answer at its end (LOST).
+TEST_CASE(
+    "a stopping instance cuts off no upload, whenever in the grace it begins and however slowly it comes")
+{
+    constexpr milliseconds tenth_of_grace{600};
+    for (const milliseconds pause : {milliseconds{0}, milliseconds{900}}) {
+        CAPTURE(pause.count());
+        deployment_options options{"unsafe", {}, 2, 4, "12000ms"};
+        options.behaviour.service_time = milliseconds{800};
+        deployment site(options);
+        std::vector<late_request> requests(10);
+        run(site.io, [&]() -> asio::awaitable<void> {
+            co_await site.start();
+            for (std::size_t index = 0; index < requests.size(); ++index) {
+                requests[index].id = "upload-" + std::to_string(index);
+                asio::co_spawn(site.io,
+                               upload_after(site.fronts[0]->callers(),
+                                            tenth_of_grace * static_cast<int>(index), pause, requests[index]),
+                               asio::detached);
+            }
+            co_await sleep_for(milliseconds{1000});
+            site.fronts[0]->signal(SIGTERM);
+            co_await sleep_for(milliseconds{9000});
+        });
+        std::size_t served = 0;
+        for (const auto& request : requests) {
+            INFO(request.id << " got " << request.status);
+            const bool ran = std::ranges::any_of(
+                site.runs, [&](const target_run& run) { return run.request_id == request.id; });
+            CHECK((ran ? request.status == 200 : request.status == 503 || !request.answered));
+            served += ran ? 1 : 0;
+        }
+        CHECK(served > 0);
+        CHECK(served < requests.size());
+    }
+}
+
 // Guards against requests whose route allows more time than the process has left, and whose connections are
 // closed at its end without an answer (LOST).
 TEST_CASE("a stopping instance answers the requests that no target can serve before it ends")
