--- a/review/build.sh
+++ b/review/build.sh
@@ -3,10 +3,10 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for program in review/standins/*.cpp; do
+for program in review/*.cpp; do
     name=$(basename "$program" .cpp)
     [[ $name == deployment ]] && continue
     g++ -std=c++20 -O1 -Wall -Wextra -Wno-mismatched-new-delete -Iinclude -isystem /usr/include/jsoncpp \
-        review/standins/deployment.cpp "$program" target/libteaseltally.a -ljsoncpp -lxxhash -pthread \
+        review/deployment.cpp "$program" target/libteaseltally.a -ljsoncpp -lxxhash -pthread \
         -o "target/review/$name"
 done
