--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -485,7 +485,11 @@
         const bool running = request->has_running_attempt();
         if (now >= request->deadline) {
             request->may_have_executed = request->may_have_executed || running;
-            co_return make_failure_response(*request, "deadline exceeded", min_retry_after);
+            co_return make_failure_response(*request,
+                                            request->deadline == last_answer_at_
+                                                ? "no answer before the instance ends"
+                                                : "deadline exceeded",
+                                            min_retry_after);
         }
         if (should_start_attempt(*request, now)) {
             if (quarantined_fingerprint(*request) && !running && !request->is_trial) {
