--- a/tests/front_stop_tests.cpp
+++ b/tests/front_stop_tests.cpp
@@ -299,6 +299,42 @@
     }
 }
 
+// Guards against requests that are given up at the end of a default grace period, while the one of the
+// installation lasts longer (LOST).
+TEST_CASE("a stopping instance waits for answers through the grace period of its installation")
+{
+    for (const std::string semantics : {"safe", "unsafe"}) {
+        CAPTURE(semantics);
+        // The requests end between the default grace period, 6 s, and the last sixth of this one.
+        deployment_options options{semantics, {}, 2, 8, "8000ms", "10s"};
+        options.behaviour.service_time = milliseconds{4200};
+        deployment site(options);
+        std::vector<late_request> requests(8);
+        time_point told_at{};
+        time_point ended_at{};
+        run(site.io, [&]() -> asio::awaitable<void> {
+            co_await site.start();
+            for (std::size_t index = 0; index < requests.size(); ++index) {
+                requests[index].id = "graced-" + std::to_string(index);
+                const auto delay = milliseconds{2500 + 50 * static_cast<int>(index)};
+                asio::co_spawn(site.io, send_after(site.fronts[0]->callers(), delay, requests[index]),
+                               asio::detached);
+            }
+            told_at = boot_clock::now();
+            site.fronts[0]->signal(SIGTERM);
+            while (!site.fronts[0]->has_ended() && boot_clock::now() < told_at + milliseconds{11'000})
+                co_await sleep_for(milliseconds{20});
+            ended_at = boot_clock::now();
+        });
+        MESSAGE("the process ended after " << (ended_at - told_at) / milliseconds{1} << " ms");
+        CHECK(ended_at - told_at < milliseconds{10'000});
+        for (const auto& request : requests) {
+            INFO(request.id << " got " << request.status);
+            CHECK(request.status == 200);
+        }
+    }
+}
+
 // Guards against requests of isolated instances that are cut off at the end of the instance that they were
 // passed to.
 TEST_CASE("a stopping instance completes the requests that were passed to it, and declines later ones")
--- a/tests/support/front_deployment.hpp
+++ b/tests/support/front_deployment.hpp
@@ -123,6 +123,8 @@
     std::uint8_t targets = 10;
     /// Timeout of the route.
     std::string route_timeout = "2000ms";
+    /// Grace period of the installation.
+    std::string grace = "6s";
 };
 
 /// Two data centres with half of the instances each, a store, and targets of one service.
@@ -140,10 +142,10 @@
             add_target(options.behaviour);
         for (std::size_t index = 0; index < options.fronts; ++index) {
             const std::string data_centre = index % 2 == 0 ? "a" : "b";
-            fronts.push_back(
-                std::make_unique<front_process>(folder_, static_cast<std::uint8_t>(first_front_host + index),
-                                                "front-" + data_centre + "-" + std::to_string(index / 2 + 1),
-                                                data_centre, store.endpoint(index), fill_silent_listener()));
+            fronts.push_back(std::make_unique<front_process>(
+                folder_, static_cast<std::uint8_t>(first_front_host + index),
+                "front-" + data_centre + "-" + std::to_string(index / 2 + 1), data_centre,
+                store.endpoint(index), fill_silent_listener(), options.grace));
         }
     }
     ~deployment()
--- a/tests/support/front_process.cpp
+++ b/tests/support/front_process.cpp
@@ -1,6 +1,7 @@
 #include "support/front_process.hpp"
 
 #include "support/run.hpp"
+#include "support/settings_template.hpp"
 
 #include <array>
 #include <csignal>
@@ -23,16 +24,22 @@
 
 front_process::front_process(std::filesystem::path folder, std::uint8_t host, std::string name,
                              const std::string& data_centre, const tcp_endpoint& store,
-                             const tcp_endpoint& silent_endpoint)
+                             const tcp_endpoint& silent_endpoint, const std::string& grace)
     : folder_(std::move(folder)), name_(std::move(name)), callers_(fixed_endpoint(host, 1)),
       readiness_(fixed_endpoint(host, 2)), silent_endpoint_(silent_endpoint)
 {
     set_target_links(target_links::open);
-    std::ofstream settings(folder_ / (name_ + ".ini"));
-    settings << "[instance]\nname = " << name_ << "\ndata_centre = " << data_centre
-             << "\ncaller_address = " << text_of(callers_) << "\nready_address = " << text_of(readiness_)
-             << "\npeer_address = " << text_of(fixed_endpoint(host, 3))
-             << "\n[platform]\naddress = " << text_of(store) << "\nheartbeat = 870ms\n";
+    const auto peers = fixed_endpoint(host, 3);
+    auto fields = example_fields();
+    fields["node-name"] = name_;
+    fields["zone"] = data_centre;
+    fields["listen"]["front"] = text_of(callers_);
+    fields["listen"]["ready"] = text_of(readiness_);
+    fields["ip"] = peers.address().to_string();
+    fields["internal-port-range"][0] = peers.port();
+    fields["provider"]["address"] = text_of(store);
+    fields["bounds"]["grace"] = grace;
+    std::ofstream(folder_ / (name_ + ".ini")) << render_settings(fields);
 }
 
 void front_process::set_target_links(target_links links) const
--- a/tests/support/front_process.hpp
+++ b/tests/support/front_process.hpp
@@ -17,14 +17,15 @@
 /// Process of one instance. It is killed on destruction.
 class front_process {
 public:
-    /// Writes the settings file. The links to targets are open.
+    /// Renders the settings file from the template of installations. The links to targets are open.
     /// @param folder existing folder for settings and output.
     /// @param host number of the host whose address the process uses (see `fixed_endpoint`).
     /// @param store endpoint of the store.
     /// @param silent_endpoint endpoint that leaves new connections without an answer.
+    /// @param grace time from SIGTERM until the platform ends the process forcibly.
     front_process(std::filesystem::path folder, std::uint8_t host, std::string name,
                   const std::string& data_centre, const tcp_endpoint& store,
-                  const tcp_endpoint& silent_endpoint);
+                  const tcp_endpoint& silent_endpoint, const std::string& grace);
     ~front_process();
     front_process(const front_process&) = delete;
     front_process& operator=(const front_process&) = delete;
