Read the bounds of an installation instead of working with defaults

The same holds for the other bounds: a configuration counted as late after 2 s instead of 3 s, and all instances together had 50 retries beyond the ratio instead of 630.

Cause: the template of the settings rendered `bounds` as one value. It is a table, which the platform renders as JSON; the settings expected a list of `name=value` with commas. Entries without `=` were skipped without a word, so that every bound had its default, which small installations happen to share.

Change: the template names each bound, as it does all other fields, and the settings have a section for them; the parser of the list is gone. Nothing is skipped without a word any more: the line `settings` names the keys without a value and the unknown ones.

--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -7,6 +7,7 @@
 #include "../platform/wire.hpp"
 
 #include "support/run.hpp"
+#include "support/settings_template.hpp"
 
 #include <teaseltally/json.hpp>
 
@@ -34,7 +35,11 @@
 [platform]
 address = 10.0.0.9:1
 heartbeat = 870ms
-bounds = config-apply=1500ms,grace=6s,retry-budget-ratio=0.25,budget-slack=56,unknown=1
+[bounds]
+config-apply = 1500ms
+grace = 7s
+retry-budget-ratio = 0.25
+budget-slack = 56
 )";
 
 const std::string valid_configuration = R"({"version":"0000000c",
@@ -65,9 +70,49 @@
     REQUIRE(std::holds_alternative<settings>(read));
     const auto& values = std::get<settings>(read);
     CHECK(values.configuration_apply_limit == milliseconds{1500});
-    CHECK(values.stop_grace_period == milliseconds{6000});
+    CHECK(values.stop_grace_period == milliseconds{7000});
     CHECK(values.target_report_interval == milliseconds{870});
     CHECK(values.retry_ratio == doctest::Approx(0.25));
+    CHECK(values.retry_burst == doctest::Approx(56));
+}
+
+// Guards against bounds of an installation that are rendered in a form that the settings don't read, so that
+// defaults apply without a notice (LOST).
+TEST_CASE("the settings that the template renders for an installation contain all of its bounds")
+{
+    auto fields = test::example_fields();
+    auto& bounds = fields["bounds"];
+    bounds["grace"] = "10s";
+    bounds["config-apply"] = "3000ms";
+    bounds["hold-max"] = "9000ms";
+    bounds["retry-budget-ratio"] = 0.3;
+    bounds["budget-slack"] = 630;
+    const auto read = parse_settings(test::render_settings(fields), "local");
+    REQUIRE(std::holds_alternative<settings>(read));
+    const auto& values = std::get<settings>(read);
+    CHECK(values.instance == "front-a-1");
+    CHECK(values.peer_address == "10.0.0.1:82");
+    CHECK(values.descriptors == 4096);
+    CHECK(values.stop_grace_period == milliseconds{10'000});
+    CHECK(values.configuration_apply_limit == milliseconds{3000});
+    CHECK(values.max_grant_duration == milliseconds{9000});
+    CHECK(values.retry_ratio == doctest::Approx(0.3));
+    CHECK(values.retry_burst == doctest::Approx(630));
+    CHECK(values.defaulted == std::vector<std::string>{"quarantine.crashes", "quarantine.lifetime"});
+    CHECK(values.unknown.empty());
+}
+
+TEST_CASE("settings name the keys without a value and the unknown ones, and the defaults apply")
+{
+    auto fields = test::example_fields();
+    fields["bounds"].removeMember("grace");
+    const auto text = test::render_settings(fields) + "\n[other]\nkey = 1\n";
+    const auto read = parse_settings(text, "local");
+    REQUIRE(std::holds_alternative<settings>(read));
+    const auto& values = std::get<settings>(read);
+    CHECK(values.stop_grace_period == settings{}.stop_grace_period);
+    CHECK(std::ranges::count(values.defaulted, "bounds.grace") == 1);
+    CHECK(values.unknown == std::vector<std::string>{"other.key"});
 }
 
 TEST_CASE("errors in settings state the file, section, key and value")
@@ -77,7 +122,7 @@
     CHECK(
         to_string(std::get<std::vector<error>>(missing).front()).find("local: [instance] name is missing") ==
         0);
-    const auto bad = parse_settings(replace_text(valid_settings, "grace=6s", "grace=soon"), "local");
+    const auto bad = parse_settings(replace_text(valid_settings, "grace = 7s", "grace = soon"), "local");
     REQUIRE(std::holds_alternative<std::vector<error>>(bad));
     CHECK(std::get<std::vector<error>>(bad).front().message ==
           "[bounds] grace = \"soon\" is not a duration such as \"1500ms\" or \"2.5s\"");
