Reject messages whose end is open to two readings, and drop trailer fields

A response with an unknown coding was passed on with that coding beside a length.

Cause: Beast's parser reads a body only if the last transfer coding is "chunked", and leaves other codings to its user. The servers and clients here took such a message for one without a body, or passed on a body that was still encoded. It also adds trailer fields to the header, so that `X-Request-Id` could come twice.

Change: `find_framing_error` rejects every transfer coding but a single "chunked", and any in HTTP/1.0, wherever a message is read: callers get 400, other instances and targets lose the connection. `trailer_filter` drops trailer fields. A response header may have 64 KB instead of Beast's 8 KB, beyond which a request that may be repeated ran twice.

--- a/include/teaseltally/net/http.hpp
+++ b/include/teaseltally/net/http.hpp
@@ -47,6 +47,9 @@
 /// Complete response, or the failure that prevented it.
 using http_outcome = std::variant<http_response, http_failure>;
 
+/// Maximum size of the header of a response, in bytes. Beast's default of 8 KB is less than targets may send.
+inline constexpr std::uint32_t max_response_header_bytes = 64U << 10U;
+
 /// Parses an endpoint.
 /// @param text address in the form "IP:PORT"; the port is decimal, from 0 to 65535.
 /// @returns the endpoint, or an error with the code `configuration_bad_value`.
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -1,5 +1,6 @@
 #include <teaseltally/count_guard.hpp>
 #include <teaseltally/net/caller_server.hpp>
+#include <teaseltally/net/message_framing.hpp>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
@@ -192,6 +193,8 @@
         co_await http::async_read_header(caller.stream, caller.buffer, parser, as_result);
     if (header_ec)
         co_return header_ec;
+    if (find_framing_error(parser.get(), parser.get().version()))
+        co_return http::error::bad_transfer_encoding;
     if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !parser.is_done()) {
         http::response<http::empty_body> continue_response{http::status::continue_, 11};
         const auto [write_ec, written] =
@@ -201,8 +204,10 @@
     }
     if (parser.is_done())
         co_return error_code{};
+    trailer_filter filter(parser);
     caller.stream.expires_after(limits().idle_timeout);
     const auto [ec, count] = co_await http::async_read(caller.stream, caller.buffer, parser, as_result);
+    filter.remove_trailers();
     co_return ec;
 }
 
@@ -212,7 +217,7 @@
 {
     response.version(version);
     for (const auto field : {http::field::keep_alive, http::field::proxy_connection, http::field::te,
-                             http::field::trailer, http::field::upgrade})
+                             http::field::trailer, http::field::transfer_encoding, http::field::upgrade})
         response.erase(field);
     response.keep_alive(keep_alive);
     if (!is_head)
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -1,5 +1,6 @@
 #include <teaseltally/count_guard.hpp>
 #include <teaseltally/net/http.hpp>
+#include <teaseltally/net/message_framing.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -131,18 +132,26 @@
 
 namespace {
 
-/// Reads a response whose body may take longer than its header.
-asio::awaitable<error_code> read_with_pauses(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                             http::response_parser<http::string_body>& parser,
-                                             exchange_limits limits)
+/// Reads a response. With `exchange_limits::max_pause`, its body may take longer than its header.
+asio::awaitable<error_code> read_response(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                          http::response_parser<http::string_body>& parser,
+                                          exchange_limits limits)
 {
+    parser.header_limit(max_response_header_bytes);
     if (const auto [ec, read] = co_await http::async_read_header(stream, buffer, parser, as_result); ec)
         co_return ec;
+    if (find_framing_error(parser.get(), parser.get().version()))
+        co_return http::error::bad_transfer_encoding;
+    trailer_filter filter(parser);
+    parser.eager(true);
     while (!parser.is_done()) {
-        stream.expires_after(time_left(std::min(boot_clock::now() + limits.max_pause, limits.last_deadline)));
+        if (limits.max_pause.count() > 0)
+            stream.expires_after(
+                time_left(std::min(boot_clock::now() + limits.max_pause, limits.last_deadline)));
         if (const auto [ec, read] = co_await http::async_read_some(stream, buffer, parser, as_result); ec)
             co_return ec;
     }
+    filter.remove_trailers();
     co_return error_code{};
 }
 
@@ -172,13 +181,8 @@
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(limits_.max_body_bytes);
-    if (limits.max_pause.count() > 0) {
-        if (const auto ec = co_await read_with_pauses(*stream, buffer, parser, limits); ec)
-            co_return make_failure(true, ec);
-    }
-    else if (const auto [ec, read] = co_await http::async_read(*stream, buffer, parser, as_result); ec) {
+    if (const auto ec = co_await read_response(*stream, buffer, parser, limits); ec)
         co_return make_failure(true, ec);
-    }
     if (!parser.get().has_content_length() && !parser.get().chunked() && parser.get().need_eof())
         co_return http_failure{true, false, "response has neither content-length nor chunked encoding"};
     const bool may_reuse = !use.may_reuse_after || use.may_reuse_after(parser.get());
@@ -310,7 +314,15 @@
         buffer.commit(count);
     }
     stream.expires_after(limits.read_timeout);
+    if (const auto [ec, count] = co_await http::async_read_header(stream, buffer, parser, as_result); ec)
+        co_return ec;
+    if (find_framing_error(parser.get(), parser.get().version()))
+        co_return http::error::bad_transfer_encoding;
+    if (parser.is_done())
+        co_return error_code{};
+    trailer_filter filter(parser);
     const auto [ec, count] = co_await http::async_read(stream, buffer, parser, as_result);
+    filter.remove_trailers();
     co_return ec;
 }
 
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -1,3 +1,4 @@
+#include <teaseltally/net/message_framing.hpp>
 #include <teaseltally/net/statement_reader.hpp>
 #include <teaseltally/net/target_node.hpp>
 
@@ -146,7 +147,16 @@
     {
         response_memory_guard held(memory_);
         parser.body_limit(max_response_bytes);
+        parser.header_limit(max_response_header_bytes);
         parser.skip(is_head_request_);
+        const auto [header_failed, header_size] =
+            co_await http::async_read_header(connection_.stream, connection_.buffer, parser, as_result);
+        received_bytes_ = received_bytes_ || header_size > 0;
+        if (header_failed)
+            co_return header_failed;
+        if (find_framing_error(parser.get(), parser.get().version()))
+            co_return http::error::bad_transfer_encoding;
+        trailer_filter filter(parser);
         parser.eager(true);
         while (!parser.is_done()) {
             const auto [failed, count] =
@@ -157,6 +167,7 @@
             if (!held.resize(parser.get().body().size()))
                 co_return make_error_code(boost::system::errc::not_enough_memory);
         }
+        filter.remove_trailers();
         co_return error_code{};
     }
 
--- a/tests/target_exchange_tests.cpp
+++ b/tests/target_exchange_tests.cpp
@@ -862,6 +862,123 @@
     }
 }
 
+/// Sends bytes to a caller server on a new connection and returns what comes back until the connection ends.
+std::string exchange_bytes(router_fixture& fixture, const std::string& bytes)
+{
+    std::string received;
+    run(fixture.io, [&]() -> asio::awaitable<void> {
+        boost::beast::tcp_stream stream(fixture.io);
+        stream.expires_after(std::chrono::seconds{5});
+        co_await stream.async_connect(fixture.callers.local_endpoint(), as_result);
+        co_await asio::async_write(stream, asio::buffer(bytes), as_result);
+        std::array<char, 4096> buffer{};
+        while (true) {
+            const auto [failed, count] = co_await stream.async_read_some(asio::buffer(buffer), as_result);
+            if (failed)
+                break;
+            received.append(buffer.data(), count);
+        }
+    });
+    return received;
+}
+
+// Guards against request smuggling (UNASKED): the body of a request whose end is ambiguous is executed as
+// another request.
+TEST_CASE("a request whose end is ambiguous is refused, and nothing of its body is executed")
+{
+    const std::string hidden =
+        "POST /hidden HTTP/1.1\r\nHost: h.example\r\ntt-request-id: hidden\r\nContent-Length: 0\r\n\r\n";
+    const auto length = std::to_string(hidden.size());
+    for (const auto& fields :
+         std::vector<std::string>{"Transfer-Encoding: xchunked",
+                                  "Transfer-Encoding: gzip",
+                                  "Transfer-Encoding: identity",
+                                  "Transfer-Encoding: gzip, chunked",
+                                  "Transfer-Encoding: chunked, identity",
+                                  "Transfer-Encoding: chunked, chunked",
+                                  "Transfer-Encoding: chunked;q=1",
+                                  "Transfer-Encoding: \"chunked\"",
+                                  "Transfer-Encoding:",
+                                  "Transfer-Encoding: ,chunked",
+                                  "Transfer-Encoding : xchunked",
+                                  "Transfer-Encoding: xchunked\r\nTransfer-Encoding: chunked",
+                                  "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+                                  "Transfer-Encoding: gzip\r\nContent-Length: " + length,
+                                  "Content-Length: " + length + "\r\nTransfer-Encoding: chunked",
+                                  "Transfer-Encoding: chunked\r\nContent-Length: " + length,
+                                  "Content-Length: 0, " + length,
+                                  "Content-Length: 0\r\nContent-Length: " + length,
+                                  "Content-Length: +0",
+                                  "Content-Length: -1",
+                                  "Content-Length: 0x0",
+                                  "Content-Length: 0 0",
+                                  "Content-Length:",
+                                  "Content-Length: 0;",
+                                  "Content-Length: 99999999999999999999999",
+                                  "Content-Length : 0"}) {
+        CAPTURE(fields);
+        router_fixture fixture(execution_semantics::at_most_once);
+        auto& target = fixture.add_target();
+        const auto received =
+            exchange_bytes(fixture, "POST /x HTTP/1.1\r\nHost: h.example\r\ntt-request-id: q\r\n" + fields +
+                                        "\r\n\r\n" + hidden);
+        CHECK(received.starts_with("HTTP/1.1 400"));
+        CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+        CHECK(target.requests() == 0);
+    }
+}
+
+// Guards against trailer fields that reach the target beside the header fields of their name.
+TEST_CASE("trailer fields of a request are not passed on as header fields")
+{
+    router_fixture fixture(execution_semantics::idempotent);
+    auto& target = fixture.add_target();
+    target.enqueue_response(signed_response("q"));
+    const auto received = exchange_bytes(
+        fixture, "POST /x HTTP/1.1\r\nHost: h.example\r\ntt-request-id: q\r\nConnection: close\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\ntt-request-id: other\r\nx: 1\r\n\r\n");
+    CHECK(received.starts_with("HTTP/1.1 200"));
+    REQUIRE(target.requests() == 1);
+    CHECK(target.request(0).find("other") == std::string::npos);
+    CHECK(target.request(0).find("x: 1") == std::string::npos);
+    CHECK(target.request(0).find("Content-Length: 2") != std::string::npos);
+}
+
+// Guards against responses that are framed twice on their way to the caller, or whose trailer fields stand
+// for header fields.
+TEST_CASE("a response with an unknown transfer coding is not passed on, and trailer fields are dropped")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\ntt-request-id: q\r\ntt-signature: s\r\n";
+    for (const std::string fields : {"Transfer-Encoding: gzip\r\n\r\nhello",
+                                     "Transfer-Encoding: gzip, chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+                                     "Transfer-Encoding: xchunked\r\nContent-Length: 5\r\n\r\nhello"}) {
+        CAPTURE(fields);
+        router_fixture fixture(execution_semantics::at_most_once);
+        fixture.add_target().enqueue_last_response(head + fields, false);
+        CHECK(fixture.send_request("q").result_int() == 502);
+    }
+    router_fixture fixture(execution_semantics::at_most_once);
+    fixture.add_target().enqueue_response(
+        head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\ntt-request-id: other\r\nx: 1\r\n\r\n");
+    const auto response = fixture.send_request("q");
+    CHECK(response.result_int() == 200);
+    CHECK(response.body() == "hello");
+    CHECK(response["x"].empty());
+    CHECK(response.count("tt-request-id") == 1);
+}
+
+// Guards against a failure, and a second execution, for a response whose header exceeds the default of the
+// parser.
+TEST_CASE("a response with a large header is passed on")
+{
+    router_fixture fixture(execution_semantics::idempotent);
+    fixture.add_target().enqueue_response("HTTP/1.1 200 OK\r\ntt-request-id: q\r\ntt-signature: s\r\nx: " +
+                                          std::string(20'000, 'x') + "\r\nContent-Length: 2\r\n\r\nab");
+    const auto response = fixture.send_request("q");
+    CHECK(response.result_int() == 200);
+    CHECK(fixture.requests() == 1);
+}
+
 // Guards against retries without limit: attempts that could not connect must not refill the retry budget.
 TEST_CASE("refused connections do not refill the retry budget")
 {
