Name limits that the settings lack in a line of their own, and reject bounds out of range

A gap in the limits of an installation drowned in the line `settings`, among keys that no installation states. Only real gaps and unknown keys are named now, in `settings_incomplete`, and bounds that are 0, negative or not finite are errors at the start instead of a budget or a grace period that means nothing.

--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -98,7 +98,7 @@
     CHECK(values.max_grant_duration == milliseconds{9000});
     CHECK(values.retry_ratio == doctest::Approx(0.3));
     CHECK(values.retry_burst == doctest::Approx(630));
-    CHECK(values.defaulted == std::vector<std::string>{"quarantine.crashes", "quarantine.lifetime"});
+    CHECK(values.defaulted.empty());
     CHECK(values.unknown.empty());
 }
 
@@ -111,7 +111,7 @@
     REQUIRE(std::holds_alternative<settings>(read));
     const auto& values = std::get<settings>(read);
     CHECK(values.stop_grace_period == settings{}.stop_grace_period);
-    CHECK(std::ranges::count(values.defaulted, "bounds.grace") == 1);
+    CHECK(values.defaulted == std::vector<std::string>{"bounds.grace"});
     CHECK(values.unknown == std::vector<std::string>{"other.key"});
 }
 
@@ -128,6 +128,21 @@
           "[bounds] grace = \"soon\" is not a duration such as \"1500ms\" or \"2.5s\"");
 }
 
+TEST_CASE("bounds out of range are rejected")
+{
+    for (const std::string bound :
+         {"grace = 0s", "config-apply = 0ms", "hold-max = 0ms", "retry-budget-ratio = nan",
+          "retry-budget-ratio = -0.1", "budget-slack = inf", "grace = {\"a\":1}"}) {
+        CAPTURE(bound);
+        const auto key = bound.substr(0, bound.find(' '));
+        auto fields = test::example_fields();
+        fields["bounds"][key] = bound.substr(key.size() + 3);
+        const auto rejected = parse_settings(test::render_settings(fields), "local");
+        REQUIRE(std::holds_alternative<std::vector<error>>(rejected));
+        CHECK(std::get<std::vector<error>>(rejected).front().message.starts_with("[bounds] " + key));
+    }
+}
+
 TEST_CASE("settings with too few file descriptors for callers are rejected")
 {
     const auto read = parse_settings(valid_settings + "[limits]\ndescriptors = 650\n", "local");
