--- a/tests/target_exchange_tests.cpp
+++ b/tests/target_exchange_tests.cpp
@@ -919,9 +919,9 @@
         CAPTURE(fields);
         router_fixture fixture(execution_semantics::at_most_once);
         auto& target = fixture.add_target();
-        const auto received =
-            exchange_bytes(fixture, "POST /x HTTP/1.1\r\nHost: h.example\r\ntt-request-id: q\r\n" + fields +
-                                        "\r\n\r\n" + hidden);
+        auto bytes = std::string{"POST /x HTTP/1.1\r\nHost: h.example\r\ntt-request-id: q\r\n"};
+        bytes.append(fields).append("\r\n\r\n").append(hidden);
+        const auto received = exchange_bytes(fixture, bytes);
         CHECK(received.starts_with("HTTP/1.1 400"));
         CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
         CHECK(target.requests() == 0);
