--- a/tests/front_stop_tests.cpp
+++ b/tests/front_stop_tests.cpp
@@ -324,7 +324,7 @@
     for (const std::string semantics : {"safe", "unsafe"}) {
         CAPTURE(semantics);
         // The requests end between the default grace period, 6 s, and the last sixth of this one.
-        deployment_options options{semantics, {}, 2, 8, "8000ms", "10s"};
+        deployment_options options{semantics, {}, 2, 8, "8000ms", {{"grace", "10s"}}};
         options.behaviour.service_time = milliseconds{4200};
         deployment site(options);
         std::vector<late_request> requests(8);
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -102,6 +102,38 @@
     CHECK(values.unknown.empty());
 }
 
+// Guards against a form of the bounds of one installation that is not read.
+TEST_CASE("the bounds of every installation of the users are read")
+{
+    struct installation {
+        const char* name;
+        const char* configuration_apply;
+        const char* grace;
+        int retry_burst;
+        milliseconds expected_apply;
+        milliseconds expected_grace;
+    };
+    for (const auto& site : std::vector<installation>{
+             {"obmh-gateway", "2000ms", "6s", 56, milliseconds{2000}, milliseconds{6000}},
+             {"lysing-gw", "2000ms", "6s", 64, milliseconds{2000}, milliseconds{6000}},
+             {"obmh-gateway-grown", "2500ms", "6s", 214, milliseconds{2500}, milliseconds{6000}},
+             {"lysing-gw-grown", "2500ms", "6s", 182, milliseconds{2500}, milliseconds{6000}},
+             {"obmh-gateway-large", "3000ms", "10s", 630, milliseconds{3000}, milliseconds{10'000}}}) {
+        CAPTURE(std::string{site.name});
+        auto fields = test::example_fields();
+        fields["bounds"]["config-apply"] = site.configuration_apply;
+        fields["bounds"]["grace"] = site.grace;
+        fields["bounds"]["budget-slack"] = site.retry_burst;
+        const auto read = parse_settings(test::render_settings(fields), "local");
+        REQUIRE(std::holds_alternative<settings>(read));
+        const auto& values = std::get<settings>(read);
+        CHECK(values.configuration_apply_limit == site.expected_apply);
+        CHECK(values.stop_grace_period == site.expected_grace);
+        CHECK(values.retry_burst == doctest::Approx(site.retry_burst));
+        CHECK(values.defaulted.empty());
+    }
+}
+
 TEST_CASE("settings name the keys without a value and the unknown ones, and the defaults apply")
 {
     auto fields = test::example_fields();
--- a/tests/support/front_deployment.hpp
+++ b/tests/support/front_deployment.hpp
@@ -123,8 +123,8 @@
     std::uint8_t targets = 10;
     /// Timeout of the route.
     std::string route_timeout = "2000ms";
-    /// Grace period of the installation.
-    std::string grace = "6s";
+    /// Bounds of the installation that differ from those of `example_fields`, by name.
+    std::map<std::string, Json::Value> bounds = {};
 };
 
 /// Two data centres with half of the instances each, a store, and targets of one service.
@@ -145,7 +145,7 @@
             fronts.push_back(std::make_unique<front_process>(
                 folder_, static_cast<std::uint8_t>(first_front_host + index),
                 "front-" + data_centre + "-" + std::to_string(index / 2 + 1), data_centre,
-                store.endpoint(index), fill_silent_listener(), options.grace));
+                store.endpoint(index), fill_silent_listener(), options.bounds));
         }
     }
     ~deployment()
--- a/tests/support/front_process.cpp
+++ b/tests/support/front_process.cpp
@@ -24,7 +24,8 @@
 
 front_process::front_process(std::filesystem::path folder, std::uint8_t host, std::string name,
                              const std::string& data_centre, const tcp_endpoint& store,
-                             const tcp_endpoint& silent_endpoint, const std::string& grace)
+                             const tcp_endpoint& silent_endpoint,
+                             const std::map<std::string, Json::Value>& bounds)
     : folder_(std::move(folder)), name_(std::move(name)), callers_(fixed_endpoint(host, 1)),
       readiness_(fixed_endpoint(host, 2)), silent_endpoint_(silent_endpoint)
 {
@@ -38,7 +39,8 @@
     fields["ip"] = peers.address().to_string();
     fields["internal-port-range"][0] = peers.port();
     fields["provider"]["address"] = text_of(store);
-    fields["bounds"]["grace"] = grace;
+    for (const auto& [name, bound] : bounds)
+        fields["bounds"][name] = bound;
     std::ofstream(folder_ / (name_ + ".ini")) << render_settings(fields);
 }
 
--- a/tests/support/front_process.hpp
+++ b/tests/support/front_process.hpp
@@ -3,6 +3,8 @@
 #include <teaseltally/net/http.hpp>
 
 #include <filesystem>
+#include <json/value.h>
+#include <map>
 #include <string>
 #include <sys/types.h>
 
@@ -22,10 +24,10 @@
     /// @param host number of the host whose address the process uses (see `fixed_endpoint`).
     /// @param store endpoint of the store.
     /// @param silent_endpoint endpoint that leaves new connections without an answer.
-    /// @param grace time from SIGTERM until the platform ends the process forcibly.
+    /// @param bounds bounds of the installation that differ from those of `example_fields`, by name.
     front_process(std::filesystem::path folder, std::uint8_t host, std::string name,
                   const std::string& data_centre, const tcp_endpoint& store,
-                  const tcp_endpoint& silent_endpoint, const std::string& grace);
+                  const tcp_endpoint& silent_endpoint, const std::map<std::string, Json::Value>& bounds);
     ~front_process();
     front_process(const front_process&) = delete;
     front_process& operator=(const front_process&) = delete;
