--- a/tests/support/fake_target.cpp
+++ b/tests/support/fake_target.cpp
@@ -27,6 +27,8 @@
 /// Time in which the bytes before a reset reach the other side, which the reset would discard.
 constexpr milliseconds reset_delay{10};
 constexpr unsigned host_mask = 0xff;
+/// Set in a response instead of which the connection is reset.
+constexpr auto reset_header = "Test-Reset";
 
 } // namespace
 
@@ -74,7 +76,8 @@
 void fake_target::write_registration(unsigned sequence)
 {
     Json::Value entry;
-    entry["address"] = endpoint_.address().to_string() + ":" + std::to_string(endpoint_.port());
+    const auto& endpoint = behaviour_.registered_endpoint ? *behaviour_.registered_endpoint : endpoint_;
+    entry["address"] = endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
     entry["info"]["service"] = service_;
     entry["info"]["version"] = "v1";
     entry["info"]["zone"] = data_centre_;
@@ -186,6 +189,10 @@
             response = co_await execute(std::move(request), caller->from, incarnation);
         if (incarnation != ends_ || !co_await wait_for_link(caller))
             break;
+        if (response.find(reset_header) != response.end()) {
+            caller->reset();
+            break;
+        }
         if (caller->late_refusal) {
             co_await http::async_write(caller->socket, *caller->late_refusal, as_result);
             caller->late_refusal.reset();
@@ -360,6 +367,9 @@
     response.set("X-Instance-Id", id_);
     if (request.target() == "/health")
         co_return response;
+    if (observer_)
+        observer_({service_, incarnation_name(), id, boot_clock::now(),
+                   milliseconds{std::atoi(std::string{request["X-Deadline-Ms"]}.c_str())}});
     const auto name_limit = [&](std::optional<time_point>& sent) {
         if (limits_.empty() || !limits_.back().second)
             return;
@@ -386,6 +396,8 @@
             response.set(http::field::retry_after, *retry_after_);
             runs_[run].rest_asked = boot_clock::now();
         }
+        else if (behaviour_.resets_when_full)
+            response.set(reset_header, "1");
         response.result(http::status::service_unavailable);
         response.set("X-Not-Executed", "1");
         name_limit(runs_[run].limit_sent);
--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <deque>
+#include <functional>
 #include <optional>
 #include <set>
 #include <vector>
@@ -35,6 +36,16 @@
     std::optional<time_point> leaving_said;
 };
 
+/// One request that a target has read, whatever it answers.
+struct target_arrival {
+    std::string service;
+    std::string target;
+    std::string request_id;
+    time_point at{};
+    /// Time that the request says its caller still waits.
+    milliseconds time_left{};
+};
+
 /// How a target fails after it has executed a request.
 enum class target_failure {
     none,
@@ -83,6 +94,10 @@
     unsigned slots = 8;
     /// Number of requests that wait for a slot; further ones are refused.
     unsigned queue_length = 64;
+    /// Whether it resets the connections of requests that find the queue full instead of answering them.
+    bool resets_when_full = false;
+    /// Endpoint that is registered, if it is not the target's own.
+    std::optional<tcp_endpoint> registered_endpoint = {};
 };
 
 /// Target that listens on loopback and registers in a store. It runs a request only if it holds the request's
@@ -114,6 +129,8 @@
     void say_leaving() { leaving_ = true; }
     /// Sets how the target fails from now on, with every second request that it executes.
     void set_failure(target_failure failure) { failure_ = failure; }
+    /// Sets a function that is called for each request that the target reads.
+    void observe_arrivals(std::function<void(target_arrival)> observer) { observer_ = std::move(observer); }
     /// Ends the process: resets all connections, stops listening and restarts later.
     /// @param restarts whether there is a next incarnation.
     void end(bool restarts = true);
@@ -194,6 +211,7 @@
     std::optional<std::string> retry_after_;
     bool leaving_ = false;
     std::vector<time_point> misdirected_;
+    std::function<void(target_arrival)> observer_;
 };
 
 } // namespace teaseltally::test
--- a/tests/support/front_deployment.hpp
+++ b/tests/support/front_deployment.hpp
@@ -125,9 +125,11 @@
     std::string route_timeout = "2000ms";
     /// Bounds of the installation that differ from those of `example_fields`, by name.
     std::map<std::string, Json::Value> bounds = {};
+    /// Names of the data centres, over which the instances are distributed in turn.
+    std::vector<std::string> data_centres = {"a", "b"};
 };
 
-/// Two data centres with half of the instances each, a store, and targets of one service.
+/// Data centres with instances, a store, and targets of one service.
 class deployment {
 public:
     explicit deployment(const deployment_options& options)
@@ -141,10 +143,11 @@
         for (std::uint8_t index = 0; index < options.targets; ++index)
             add_target(options.behaviour);
         for (std::size_t index = 0; index < options.fronts; ++index) {
-            const std::string data_centre = index % 2 == 0 ? "a" : "b";
+            const auto centres = options.data_centres.size();
+            const auto& data_centre = options.data_centres[index % centres];
             fronts.push_back(std::make_unique<front_process>(
                 folder_, static_cast<std::uint8_t>(first_front_host + index),
-                "front-" + data_centre + "-" + std::to_string(index / 2 + 1), data_centre,
+                "front-" + data_centre + "-" + std::to_string(index / centres + 1), data_centre,
                 store.endpoint(index), fill_silent_listener(), options.bounds));
         }
     }
@@ -160,6 +163,8 @@
     deployment(deployment&&) = delete;
     deployment& operator=(deployment&&) = delete;
 
+    /// Returns the folder with the settings and the output of the instances.
+    [[nodiscard]] const std::filesystem::path& folder() const noexcept { return folder_; }
     /// Cuts the links of instances to all targets, or opens them.
     /// @param links how new connections are treated.
     /// @param open_connections whether open connections stay usable, are silent or are reset.
--- /dev/null
+++ b/tests/support/soak_judge.cpp
@@ -0,0 +1,155 @@
+#include "support/soak_judge.hpp"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace teaseltally::test {
+namespace {
+
+/// More than this number of requests without an answer, or executed by too many targets, break a promise
+/// (rules LOST and BUDGET of the users' platform).
+constexpr std::size_t tolerated_calls = 3;
+/// More requests with too much time than this, and than a fifth of all, break the rule BUDGET.
+constexpr std::size_t tolerated_extensions = 20;
+constexpr std::size_t extension_share = 5;
+constexpr milliseconds tolerated_extension{500};
+
+std::size_t count_between(const std::vector<time_point>& sorted, time_point from, time_point to)
+{
+    return static_cast<std::size_t>(std::ranges::lower_bound(sorted, to) -
+                                    std::ranges::lower_bound(sorted, from));
+}
+
+std::string at(time_point time, time_point start)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(time - start).count()) + " ms";
+}
+
+void check_executions(const soak_history& history, std::vector<soak_finding>& findings, time_point start)
+{
+    std::map<std::string, std::vector<const target_run*>> executions;
+    for (const auto& run : history.runs)
+        if (run.started)
+            executions[run.request_id].push_back(&run);
+    std::size_t over_attempts = 0;
+    for (const auto& call : history.calls) {
+        const auto found = executions.find(call.id);
+        if (found == executions.end())
+            continue;
+        const auto& runs = found->second;
+        std::set<std::string> targets;
+        for (const auto* run : runs)
+            targets.insert(run->target);
+        over_attempts += targets.size() > history.max_attempts ? 1 : 0;
+        const auto context = call.id + " sent at " + at(call.sent, start) + " to instance " +
+                             std::to_string(call.front) + ", executed at " +
+                             at(*runs.front()->started, start) + " by " + runs.front()->target;
+        if (call.at_most_once && promises_no_execution(call.status))
+            findings.push_back({"REFUSED", context + ", answered " + std::to_string(call.status) + " at " +
+                                               at(call.ended, start)});
+        if (call.at_most_once && runs.size() > 1)
+            findings.push_back(
+                {"TWICE", context + ", and at " + at(*runs[1]->started, start) + " by " + runs[1]->target});
+    }
+    if (over_attempts > tolerated_calls)
+        findings.push_back({"BUDGET", std::to_string(over_attempts) +
+                                          " requests executed by more targets than their routes allow"});
+}
+
+void check_time_left(const soak_history& history, std::vector<soak_finding>& findings)
+{
+    std::map<std::string, const soak_call*> calls;
+    for (const auto& call : history.calls)
+        calls.emplace(call.id, &call);
+    std::size_t extended = 0;
+    for (const auto& arrival : history.arrivals)
+        if (const auto found = calls.find(arrival.request_id); found != calls.end()) {
+            const auto& call = *found->second;
+            extended += !call.process_disturbed && arrival.at + arrival.time_left >
+                                                       call.sent + call.deadline + tolerated_extension
+                            ? 1
+                            : 0;
+        }
+    if (extended > tolerated_extensions && extended > history.arrivals.size() / extension_share)
+        findings.push_back({"BUDGET", std::to_string(extended) + " arrivals with more time than is left"});
+}
+
+void check_answers(const soak_history& history, std::vector<soak_finding>& findings, time_point start)
+{
+    std::set<std::string> arrived;
+    for (const auto& arrival : history.arrivals)
+        arrived.insert(arrival.request_id);
+    std::map<std::size_t, std::vector<const soak_call*>> cut;
+    for (const auto& call : history.calls)
+        if (call.was_cut && !call.process_disturbed && arrived.contains(call.id))
+            cut[call.front].push_back(&call);
+    for (const auto& [front, calls] : cut)
+        if (calls.size() > tolerated_calls)
+            findings.push_back({"LOST", std::to_string(calls.size()) + " connections of instance " +
+                                            std::to_string(front) + " closed without an answer, the first, " +
+                                            calls.front()->id + ", at " + at(calls.front()->ended, start)});
+}
+
+} // namespace
+
+bool promises_no_execution(unsigned status)
+{
+    constexpr std::array<unsigned, 4> promises{408, 421, 429, 503};
+    return std::ranges::find(promises, status) != promises.end();
+}
+
+std::map<std::string, retry_peak> retry_peaks(const soak_history& history)
+{
+    std::map<std::string, std::vector<time_point>> requests;
+    for (const auto& call : history.calls)
+        requests[call.service].push_back(call.sent);
+    std::map<std::string, std::vector<time_point>> repeats;
+    std::set<std::string> arrived;
+    auto arrivals = history.arrivals;
+    std::ranges::sort(arrivals, {}, &target_arrival::at);
+    for (const auto& arrival : arrivals)
+        if (!arrived.insert(arrival.request_id).second)
+            repeats[arrival.service].push_back(arrival.at);
+    std::map<std::string, retry_peak> peaks;
+    const auto window = history.retries.window;
+    for (auto& [service, times] : repeats) {
+        auto& sent = requests[service];
+        std::ranges::sort(sent);
+        for (const auto last : times) {
+            const auto until = last + microseconds{1};
+            const auto from = until - window;
+            const auto most =
+                std::max({count_between(sent, from, until), count_between(sent, from - window, from),
+                          count_between(sent, from - window / 2, until - window / 2)});
+            const retry_peak peak{static_cast<double>(count_between(times, from, until)),
+                                  history.retries.ratio * static_cast<double>(most) + history.retries.slack,
+                                  until};
+            auto& highest = peaks[service];
+            if (highest.limit == 0 || peak.arrivals - peak.limit > highest.arrivals - highest.limit)
+                highest = peak;
+        }
+    }
+    return peaks;
+}
+
+std::vector<soak_finding> judge(const soak_history& history)
+{
+    std::vector<soak_finding> findings;
+    if (history.calls.empty())
+        return {{"EMPTY", "no requests"}};
+    const auto start = std::ranges::min_element(history.calls, {}, &soak_call::sent)->sent;
+    check_executions(history, findings, start);
+    check_time_left(history, findings);
+    check_answers(history, findings, start);
+    for (const auto& [service, peak] : retry_peaks(history))
+        if (peak.arrivals > peak.limit)
+            findings.push_back({"BUDGET", std::to_string(static_cast<unsigned>(peak.arrivals)) +
+                                              " arrivals beyond the first at " + service + " until " +
+                                              at(peak.until, start) + ", " +
+                                              std::to_string(static_cast<unsigned>(peak.limit)) +
+                                              " allowed"});
+    return findings;
+}
+
+} // namespace teaseltally::test
