Log what retries are spent for and what pays for them, and the attempts behind each answer

A line a second for each service with retries: requests, attempts, retries by cause, attempts that another instance paid for, tokens left, capacity and the number of instances that it was divided by. Lines of requests name each attempt and how it ended, so that a promise shows what it rests on. Without them the hypotheses on REFUSED and BUDGET can't be told apart; no logic changes.

--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <teaseltally/admission/crash_quarantine.hpp>
+#include <teaseltally/admission/retry_counts.hpp>
 #include <teaseltally/admission/retry_token_bucket.hpp>
 #include <teaseltally/knowledge/target_reachability.hpp>
 #include <teaseltally/knowledge/traffic_report.hpp>
@@ -145,6 +146,10 @@
     [[nodiscard]] bool has_running_attempt() const;
     /// Returns the numbers of the connections to a target that have carried the request.
     [[nodiscard]] std::vector<std::uint64_t> connections_used(const target_node& target) const;
+    /// Returns why the next attempt repeats an earlier one; there must be one.
+    [[nodiscard]] retry_cause next_retry_cause() const;
+    /// Returns how the attempts ended, in the order of their starts, for the log.
+    [[nodiscard]] std::string attempt_outcomes() const;
     /// Returns whether an attempt through another instance has not ended.
     [[nodiscard]] bool is_relay_running() const { return relay && !relay->ended; }
     /// Returns whether the next attempt repeats one of this instance, so that it needs a retry token.
@@ -249,6 +254,9 @@
     void on_ownership_changed();
     /// Sets the number of instances that share the limits on retries and connections; zero counts as one.
     void set_instance_count(unsigned instance_count);
+    /// Writes one log line for each service with retries since the last call: what caused them, and what was
+    /// left to pay for them; called periodically.
+    void log_retries();
     /// Closes the idle connections to targets that have expired; called periodically.
     void close_expired_connections();
 
@@ -270,6 +278,8 @@
     struct service_state {
         explicit service_state(retry_token_bucket initial_budget) : retry_budget(initial_budget) {}
         retry_token_bucket retry_budget;
+        /// Counted since the last call of `log_retries`.
+        retry_counts counts;
         /// Requests that wait for a target, by priority and then by arrival.
         std::list<routed_request*> waiting;
         /// Moving average of the service time of the targets.
@@ -422,6 +432,8 @@
                                                       milliseconds retry_after) const;
     [[nodiscard]] time_point next_hedge_time(const routed_request& request, service_state& state) const;
     [[nodiscard]] double retry_budget_capacity() const noexcept;
+    /// Counts a send of a request, and spends a retry token if it repeats an earlier one.
+    static void pay_for_send(const routed_request& request, service_state& state);
     [[nodiscard]] unsigned connection_limit(const std::string& service) const;
     void wake_waiting(service_state& state);
     void enqueue(routed_request& request, service_state& state);
--- a/src/net/request_links.cpp
+++ b/src/net/request_links.cpp
@@ -134,8 +134,7 @@
     if (!peer)
         return false;
     auto& state = state_of(request->service);
-    if (request->needs_retry_token())
-        static_cast<void>(state.retry_budget.try_withdraw());
+    pay_for_send(*request, state);
     dequeue(*request, state);
     request->asked_instances.insert(peer->instance);
     auto attempt = std::make_shared<relay_attempt>();
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 
@@ -66,6 +67,43 @@
     return numbers;
 }
 
+retry_cause routed_request::next_retry_cause() const
+{
+    if (attempts.empty() || (relay && relay->ended && attempts.back()->ended))
+        return retry_cause::relayed;
+    const auto& last = *attempts.back();
+    if (!last.ended)
+        return retry_cause::hedged;
+    switch (last.result.status) {
+    case exchange_status::misdirected:
+        return retry_cause::misdirected;
+    case exchange_status::not_executed:
+        return retry_cause::refused;
+    case exchange_status::answered:
+    case exchange_status::outcome_unknown:
+        break;
+    }
+    return retry_cause::outcome_unknown;
+}
+
+std::string routed_request::attempt_outcomes() const
+{
+    constexpr std::array<std::string_view, 4> names{"answered", "refused", "misdirected", "unknown"};
+    std::string text;
+    for (const auto& attempt : attempts) {
+        const auto& result = attempt->result;
+        std::string_view outcome = names.at(static_cast<std::size_t>(result.status));
+        if (!attempt->ended)
+            outcome = "running";
+        else if (!result.connected)
+            outcome = "unreachable";
+        else if (result.held_back)
+            outcome = "held_back";
+        text += (text.empty() ? "" : ",") + attempt->target->entry().id + ":" + std::string{outcome};
+    }
+    return text;
+}
+
 void routed_request::cancel_attempts()
 {
     if (is_relay_running())
@@ -187,6 +225,36 @@
         state.retry_budget.resize(retry_budget_capacity());
 }
 
+void request_router::pay_for_send(const routed_request& request, service_state& state)
+{
+    ++state.counts.attempts;
+    if (request.needs_retry_token()) {
+        static_cast<void>(state.retry_budget.try_withdraw());
+        state.counts.add_retry(request.next_retry_cause());
+    }
+    else if (request.sends > 0)
+        ++state.counts.paid_elsewhere;
+}
+
+void request_router::log_retries()
+{
+    for (auto& [name, state] : services_) {
+        const auto counts = std::exchange(state.counts, {});
+        if (!counts.has_retries())
+            continue;
+        log_line line("retries");
+        line.add("service", name).add("requests", counts.requests).add("attempts", counts.attempts);
+        for (std::size_t cause = 0; cause < counts.retries.size(); ++cause)
+            line.add(retry_counts::cause_names.at(cause), counts.retries.at(cause));
+        log_(line.add("paid_elsewhere", counts.paid_elsewhere)
+                 .add("exhausted", counts.exhausted)
+                 .add("tokens", std::to_string(state.retry_budget.tokens()))
+                 .add("capacity", std::to_string(retry_budget_capacity()))
+                 .add("instances", instance_count_)
+                 .text());
+    }
+}
+
 void request_router::close_expired_connections()
 {
     const auto now = boot_clock::now();
@@ -456,8 +524,7 @@
         return attempt_start::blocked;
     if (permits_ != nullptr)
         static_cast<void>(permits_->use_permit(target->incarnation(), now));
-    if (request->needs_retry_token())
-        static_cast<void>(state.retry_budget.try_withdraw());
+    pay_for_send(*request, state);
     if (request->key)
         target->queue().on_sent(now);
     dequeue(*request, state);
@@ -536,10 +603,12 @@
                                                     too_late ? "the owner of the key is overloaded"
                                                              : "expected wait exceeds the deadline",
                                                     std::chrono::duration_cast<milliseconds>(wait));
-                if (!has_token)
+                if (!has_token) {
+                    ++state.counts.exhausted;
                     co_return make_failure_response(
                         *request, "retry budget exhausted",
                         std::chrono::duration_cast<milliseconds>(state.service_time));
+                }
                 enqueue(*request, state);
                 if (request->key)
                     await_owner(*request, owner_of(*request));
@@ -557,8 +626,10 @@
     if (auto refused = prepare(*request))
         co_return refused;
     auto& state = state_of(request->service);
-    if (!request->is_relayed)
+    if (!request->is_relayed) {
         state.retry_budget.deposit();
+        ++state.counts.requests;
+    }
     const routing_guard routing(routed_, *request);
     const waiting_guard waiting(*request, state);
     attempts_guard running(*request);
@@ -577,6 +648,7 @@
                  .add("status", status)
                  .add("cause", request->cause)
                  .add("target", request->attempts.empty() ? "" : request->attempts.back()->target->entry().id)
+                 .add("attempts", request->attempt_outcomes())
                  .add("relay", request->relay ? request->relay->instance : "")
                  .add("sends", request->sends)
                  .add("took_ms", elapsed.count())
