--- a/tests/soak_judge_tests.cpp
+++ b/tests/soak_judge_tests.cpp
@@ -28,7 +28,9 @@
 
 target_run run_at(milliseconds at, const std::string& id, const std::string& target = "t1")
 {
-    target_run run{target, id, {}, "/"};
+    target_run run;
+    run.target = target;
+    run.request_id = id;
     run.arrived = start + at;
     run.started = run.arrived;
     return run;
