Let requests that end targets return in the soak, and targets ask for rest and refuse with room

BUDGET has four forms on the users' page; the soak judged three. It now counts what a target gets while it has asked an instance for rest, and sends of a request that has ended three targets. Instances that are disturbed are excused as there.

--- a/tests/soak.cpp
+++ b/tests/soak.cpp
@@ -16,6 +16,9 @@
 DEFINE_uint32(seconds, 20, "length of the disturbances of one seed");
 DEFINE_string(front, "", "program of the instances; default: the one that was built with the tests");
 DEFINE_string(only, "", "kinds of disturbance that may come, separated by commas; default: all");
+DEFINE_string(failures, "", "ways in which targets may fail, separated by commas; default: all");
+DEFINE_uint32(series, 0, "number of series of disturbances; 0: 3 to 6, by the seed");
+DEFINE_double(rate, 1, "factor on the rate of requests");
 DEFINE_string(keep, "", "folder to which logs and findings of a seed with a broken promise are copied");
 DEFINE_bool(late_bytes, false, "deliver bytes that were held although their sender has reset the connection");
 
@@ -33,34 +36,49 @@
     milliseconds duration{};
 };
 
-const std::vector<std::string> kinds{"kill",         "herd",        "pause",        "replace",
-                                     "target_end",   "target_hold", "target_delay", "target_reset",
-                                     "target_fails", "links_cut",   "store_cut",    "store_away",
-                                     "reload",       "load",        "impatient"};
+const std::vector<std::string> kinds{
+    "kill",         "herd",         "pause",        "replace",   "target_end", "target_hold",
+    "target_delay", "target_reset", "target_fails", "links_cut", "store_cut",  "store_away",
+    "reload",       "load",         "impatient",    "lethal",    "rest"};
 
-const std::vector<target_failure> soak_failures{
-    target_failure::reset,           target_failure::closed,     target_failure::half_head,
-    target_failure::half_body,       target_failure::without_id, target_failure::silence,
-    target_failure::signed_503,      target_failure::signed_429, target_failure::late_refusal,
-    target_failure::repeated_refusal};
+struct named_failure {
+    std::string name;
+    target_failure failure;
+};
+
+const std::vector<named_failure> soak_failures{{"reset", target_failure::reset},
+                                               {"closed", target_failure::closed},
+                                               {"half_head", target_failure::half_head},
+                                               {"half_body", target_failure::half_body},
+                                               {"without_id", target_failure::without_id},
+                                               {"silence", target_failure::silence},
+                                               {"signed_503", target_failure::signed_503},
+                                               {"signed_429", target_failure::signed_429},
+                                               {"late_refusal", target_failure::late_refusal},
+                                               {"repeated_refusal", target_failure::repeated_refusal}};
 
-bool is_allowed(const std::string& kind)
+/// Returns whether a name is in a list of names separated by commas, or the list is empty.
+bool is_listed(const std::string& list, const std::string& name)
 {
-    return FLAGS_only.empty() || ("," + FLAGS_only + ",").find("," + kind + ",") != std::string::npos;
+    return list.empty() || ("," + list + ",").find("," + name + ",") != std::string::npos;
 }
 
 /// Returns the series of a seed, at least one of which begins early.
 std::vector<series> plan_of(std::mt19937_64& random)
 {
     std::vector<std::string> allowed;
-    std::ranges::copy_if(kinds, std::back_inserter(allowed), is_allowed);
+    std::ranges::copy_if(kinds, std::back_inserter(allowed),
+                         [](const std::string& kind) { return is_listed(FLAGS_only, kind); });
     constexpr unsigned min_series = 3;
     constexpr unsigned more_series = 4;
     const auto between = [&](long low, long high) {
         return milliseconds{std::uniform_int_distribution<long>(low, high)(random)};
     };
+    if (allowed.empty())
+        throw std::runtime_error("no kind of disturbance is named \"" + FLAGS_only + "\"");
     std::vector<series> planned;
-    const auto count = min_series + random() % more_series;
+    const auto drawn = min_series + random() % more_series;
+    const auto count = FLAGS_series > 0 ? FLAGS_series : drawn;
     for (unsigned index = 0; index < count; ++index)
         planned.push_back({allowed[random() % allowed.size()],
                            index == 0 ? milliseconds{0} : between(0, FLAGS_seconds * 700L),
@@ -121,6 +139,10 @@
             co_await cut_store(*front, planned.duration);
         else if (kind == "store_away")
             co_await lose_store(planned.duration);
+        else if (kind == "lethal")
+            co_await repeat_lethal(planned.duration);
+        else if (kind == "rest")
+            co_await rest_targets(planned.duration);
         else if (kind == "load" || kind == "impatient")
             co_await press(kind, planned.duration);
     }
@@ -138,16 +160,50 @@
     }
     asio::awaitable<void> fail_targets(milliseconds duration)
     {
-        const auto failure = soak_failures[random_() % soak_failures.size()];
+        std::vector<target_failure> allowed;
+        for (const auto& [name, failure] : soak_failures)
+            if (is_listed(FLAGS_failures, name))
+                allowed.push_back(failure);
+        const auto failure = allowed.at(random_() % allowed.size());
         std::vector<std::size_t> failing;
         for (std::size_t target = 0; target < site_.target_count(); ++target)
             if (random_() % 3 == 0)
                 failing.push_back(target);
-        for (const auto target : failing)
+        const bool sheds = random_() % 2 == 0;
+        for (const auto target : failing) {
             site_.site.targets[target]->set_failure(failure);
+            site_.site.targets[target]->set_shedding(sheds);
+        }
         co_await sleep_for(duration);
-        for (const auto target : failing)
+        for (const auto target : failing) {
             site_.site.targets[target]->set_failure(target_failure::none);
+            site_.site.targets[target]->set_shedding(false);
+        }
+    }
+    asio::awaitable<void> repeat_lethal(milliseconds duration)
+    {
+        // All series of a seed send the same request.
+        constexpr std::size_t service = 0;
+        const auto until = boot_clock::now() + duration;
+        while (boot_clock::now() < until) {
+            asio::co_spawn(site_.site.io, site_.send_lethal(service), asio::detached);
+            co_await sleep_for(return_interval);
+        }
+    }
+    asio::awaitable<void> rest_targets(milliseconds duration)
+    {
+        constexpr unsigned shortest_ms = 500;
+        constexpr unsigned spread_ms = 3000;
+        const auto rest = shortest_ms + random_() % spread_ms;
+        std::vector<std::size_t> resting;
+        for (std::size_t target = 0; target < site_.target_count(); ++target)
+            if (random_() % 3 == 0)
+                resting.push_back(target);
+        for (const auto target : resting)
+            site_.site.targets[target]->ask_for_rest(format_seconds(milliseconds{rest}));
+        co_await sleep_for(duration);
+        for (const auto target : resting)
+            site_.site.targets[target]->ask_for_rest(std::nullopt);
     }
     asio::awaitable<void> disturb_links(std::string kind, milliseconds duration)
     {
@@ -176,28 +232,41 @@
         for (std::size_t other = 0; other < site_.site.fronts.size(); ++other)
             if (other != front && random_() % 3 == 0)
                 fronts.push_back(other);
+        std::vector<time_point*> ends;
+        for (const auto cut : fronts)
+            ends.push_back(&site_.begin_disturbance(cut));
         const auto links = random_() % 2 == 0 ? target_links::refused : target_links::silent;
         site_.site.set_target_links(fronts, links,
                                     links == target_links::refused ? open_connections::reset
                                                                    : open_connections::silent);
         co_await sleep_for(duration);
         site_.site.set_target_links(fronts, target_links::open, open_connections::usable);
+        for (auto* end : ends)
+            *end = boot_clock::now();
     }
     asio::awaitable<void> cut_store(std::size_t front, milliseconds duration)
     {
+        auto& ends_at = site_.begin_disturbance(front);
         site_.site.store.set_access(front, random_() % 2 == 0 ? store_access::refused : store_access::silent);
         co_await sleep_for(duration);
         site_.site.store.set_access(front, store_access::served);
+        ends_at = boot_clock::now();
     }
     asio::awaitable<void> lose_store(milliseconds duration)
     {
         if (store_is_away_)
             co_return;
         store_is_away_ = true;
+        // While the store is disturbed no instance is in touch.
+        std::vector<time_point*> ends;
+        for (std::size_t front = 0; front < site_.site.fronts.size(); ++front)
+            ends.push_back(&site_.begin_disturbance(front));
         site_.site.store.go_away(random_() % 2 == 0 ? store_access::refused : store_access::silent);
         co_await sleep_for(duration);
         site_.site.store.return_from_copy(milliseconds{random_() % 2 == 0 ? 0 : 2000});
         store_is_away_ = false;
+        for (auto* end : ends)
+            *end = boot_clock::now();
     }
     asio::awaitable<void> press(std::string kind, milliseconds duration)
     {
@@ -300,14 +369,17 @@
     gflags::SetUsageMessage("disturbs real processes and checks what callers and targets saw");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const auto& sites = soak_sites();
-    const auto plan = std::ranges::find(sites, FLAGS_site, &site_plan::name);
-    if (plan == sites.end()) {
+    const auto found = std::ranges::find(sites, FLAGS_site, &site_plan::name);
+    if (found == sites.end()) {
         std::cerr << "soak: unknown deployment \"" << FLAGS_site << "\"\n";
         return 2;
     }
+    auto plan = *found;
+    for (auto& service : plan.services)
+        service.rate *= FLAGS_rate;
     std::uint64_t broken = 0;
     for (std::uint64_t seed = FLAGS_first; seed < FLAGS_first + FLAGS_count; ++seed)
-        broken += play(*plan, seed) ? 0 : 1;
+        broken += play(plan, seed) ? 0 : 1;
     std::cout << FLAGS_count << " seeds, " << broken << " with a broken promise" << std::endl;
     return broken == 0 ? 0 : 1;
 }
--- a/tests/soak_judge_tests.cpp
+++ b/tests/soak_judge_tests.cpp
@@ -130,6 +130,32 @@
             history.arrivals[index].time_left = milliseconds{2600};
         CHECK(count_rule(history, "BUDGET") == 1);
     }
+    SUBCASE("requests to a target that has asked for rest")
+    {
+        history.runs[0].rest_asked = start;
+        history.runs[0].rest = milliseconds{520};
+        CHECK(judge(history).empty());
+        history.runs[0].rest = milliseconds{600};
+        CHECK(count_rule(history, "BUDGET") == 1);
+        history.disturbed.push_back({{}, start, start + milliseconds{1}});
+        CHECK(judge(history).empty());
+    }
+    SUBCASE("a request that ended three targets and comes again")
+    {
+        const auto send = [&](milliseconds at, const std::string& target) {
+            history.runs.push_back(run_at(at, "lethal", target));
+            history.runs.back().lethal = true;
+        };
+        for (const auto* target : {"a", "b", "c"})
+            send(milliseconds{100}, target);
+        for (const long at : {3099L, 3101L, 3200L, 3300L})
+            send(milliseconds{at}, "c");
+        CHECK(judge(history).empty());
+        send(milliseconds{3400}, "c");
+        CHECK(count_rule(history, "BUDGET") == 1);
+        history.disturbed.push_back({{}, start + milliseconds{390}, start + milliseconds{410}});
+        CHECK(judge(history).empty());
+    }
     SUBCASE("connections that an instance closes without an answer")
     {
         for (unsigned index = 0; index < 4; ++index) {
--- a/tests/support/fake_target.cpp
+++ b/tests/support/fake_target.cpp
@@ -389,14 +389,26 @@
     }
     const bool lethal = request.find("X-Lethal") != request.end();
     const auto run = runs_.size();
-    runs_.push_back(
-        {id_, id, std::move(from), std::string{request.target()}, lethal, boot_clock::now(), {}, {}, {}, {}});
-    if (retry_after_ || queue_.size() >= behaviour_.queue_length) {
+    runs_.push_back({id_,
+                     id,
+                     std::move(from),
+                     std::string{request.target()},
+                     lethal,
+                     boot_clock::now(),
+                     {},
+                     {},
+                     {},
+                     {},
+                     {}});
+    constexpr std::size_t shed_interval = 3;
+    const bool sheds = sheds_ && ++sheddable_ % shed_interval == 0;
+    if (retry_after_ || sheds || queue_.size() >= behaviour_.queue_length) {
         if (retry_after_) {
             response.set(http::field::retry_after, *retry_after_);
             runs_[run].rest_asked = boot_clock::now();
+            runs_[run].rest = milliseconds{static_cast<std::int64_t>(std::atof(retry_after_->c_str()) * 1e3)};
         }
-        else if (behaviour_.resets_when_full)
+        else if (behaviour_.resets_when_full && !sheds)
             response.set(reset_header, "1");
         response.result(http::status::service_unavailable);
         response.set("X-Not-Executed", "1");
--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -32,6 +32,8 @@
     std::optional<time_point> limit_sent;
     /// Time when the target refused the request and asked for rest; nothing if it has not.
     std::optional<time_point> rest_asked;
+    /// Time for which it asked for rest.
+    milliseconds rest{};
     /// Time when the target answered that it is leaving; nothing if it has not.
     std::optional<time_point> leaving_said;
 };
@@ -131,6 +133,8 @@
     void set_failure(target_failure failure) { failure_ = failure; }
     /// Sets a function that is called for each request that the target reads.
     void observe_arrivals(std::function<void(target_arrival)> observer) { observer_ = std::move(observer); }
+    /// Makes the target refuse every third request from now on although it has room.
+    void set_shedding(bool sheds) { sheds_ = sheds; }
     /// Ends the process: resets all connections, stops listening and restarts later.
     /// @param restarts whether there is a next incarnation.
     void end(bool restarts = true);
@@ -210,6 +214,8 @@
     std::vector<std::pair<time_point, std::optional<double>>> limits_;
     std::optional<std::string> retry_after_;
     bool leaving_ = false;
+    bool sheds_ = false;
+    std::size_t sheddable_ = 0;
     std::vector<time_point> misdirected_;
     std::function<void(target_arrival)> observer_;
 };
--- a/tests/support/soak_judge.cpp
+++ b/tests/support/soak_judge.cpp
@@ -14,6 +14,15 @@
 constexpr std::size_t tolerated_extensions = 20;
 constexpr std::size_t extension_share = 5;
 constexpr milliseconds tolerated_extension{500};
+/// More than this number of requests to a target that has asked for rest, later than `rest_slack` after it
+/// did, break the rule BUDGET.
+constexpr std::ptrdiff_t tolerated_in_rest = 2;
+constexpr milliseconds rest_slack{500};
+/// More than this number of sends of a request, later than `stable_window` after it has ended that many
+/// targets.
+constexpr std::size_t tolerated_ends = 3;
+constexpr std::ptrdiff_t tolerated_late_sends = 3;
+constexpr milliseconds stable_window{3000};
 
 std::size_t count_between(const std::vector<time_point>& sorted, time_point from, time_point to)
 {
@@ -91,6 +100,61 @@
                                             calls.front()->id + ", at " + at(calls.front()->ended, start)});
 }
 
+/// Returns whether an instance was disturbed at some time of a span.
+bool was_disturbed(const soak_history& history, const asio::ip::address& instance, time_point from,
+                   time_point to)
+{
+    return std::ranges::any_of(history.disturbed, [&](const disturbed_span& span) {
+        return span.instance == instance && span.from <= to && span.to >= from;
+    });
+}
+
+void check_rests(const soak_history& history, std::vector<soak_finding>& findings, time_point start)
+{
+    std::set<std::pair<std::string, asio::ip::address>> found;
+    for (const auto& asked : history.runs) {
+        if (!asked.rest_asked || found.contains({asked.target, asked.from}))
+            continue;
+        const auto from = *asked.rest_asked + rest_slack;
+        const auto until = *asked.rest_asked + asked.rest;
+        const auto count = std::ranges::count_if(history.runs, [&](const target_run& run) {
+            return run.target == asked.target && run.from == asked.from && run.arrived > from &&
+                   run.arrived < until;
+        });
+        if (count <= tolerated_in_rest || was_disturbed(history, asked.from, *asked.rest_asked, until))
+            continue;
+        found.emplace(asked.target, asked.from);
+        findings.push_back({"BUDGET", std::to_string(count) + " requests of " + asked.from.to_string() +
+                                          " reach " + asked.target + ", which asked it for " +
+                                          std::to_string(asked.rest.count()) + " ms of rest at " +
+                                          at(*asked.rest_asked, start)});
+    }
+}
+
+void check_lethal(const soak_history& history, std::vector<soak_finding>& findings, time_point start)
+{
+    std::map<std::string, time_point> ended;
+    for (const auto& run : history.runs)
+        if (run.lethal && run.started)
+            ended.try_emplace(run.target, *run.started);
+    if (ended.size() < tolerated_ends)
+        return;
+    std::vector<time_point> ends;
+    for (const auto& [target, time] : ended)
+        ends.push_back(time);
+    std::ranges::sort(ends);
+    const auto from = ends[tolerated_ends - 1] + stable_window;
+    const auto late = std::ranges::count_if(history.runs, [&](const target_run& run) {
+        return run.lethal && run.arrived > from &&
+               !was_disturbed(history, run.from, run.arrived - stable_window, run.arrived);
+    });
+    if (late > tolerated_late_sends)
+        findings.push_back({"BUDGET", "a request under which three targets had ended at " +
+                                          at(ends[tolerated_ends - 1], start) + " was sent " +
+                                          std::to_string(late) + " times more; " +
+                                          std::to_string(ended.size()) + " ended in all"});
+}
+
 } // namespace
 
 bool promises_no_execution(unsigned status)
@@ -126,7 +190,7 @@
                                   history.retries.ratio * static_cast<double>(most) + history.retries.slack,
                                   until};
             auto& highest = peaks[service];
-            if (highest.limit == 0 || peak.arrivals - peak.limit > highest.arrivals - highest.limit)
+            if (highest.limit == 0 || peak.arrivals * highest.limit > highest.arrivals * peak.limit)
                 highest = peak;
         }
     }
@@ -142,6 +206,8 @@
     check_executions(history, findings, start);
     check_time_left(history, findings);
     check_answers(history, findings, start);
+    check_rests(history, findings, start);
+    check_lethal(history, findings, start);
     for (const auto& [service, peak] : retry_peaks(history))
         if (peak.arrivals > peak.limit)
             findings.push_back({"BUDGET", std::to_string(static_cast<unsigned>(peak.arrivals)) +
--- a/tests/support/soak_judge.hpp
+++ b/tests/support/soak_judge.hpp
@@ -38,6 +38,13 @@
     milliseconds window{10'000};
 };
 
+/// A span in which an instance was disturbed: it was killed, paused, stopped, starting, or cut off.
+struct disturbed_span {
+    asio::ip::address instance;
+    time_point from{};
+    time_point to{};
+};
+
 /// What a run is judged by.
 struct soak_history {
     std::vector<soak_call> calls;
@@ -45,6 +52,7 @@
     std::vector<target_arrival> arrivals;
     retry_limit retries;
     unsigned max_attempts = 2;
+    std::vector<disturbed_span> disturbed = {};
 };
 
 /// One broken promise.
@@ -67,7 +75,8 @@
 /// Returns for each service the window that comes closest to its limit, or exceeds it most.
 [[nodiscard]] std::map<std::string, retry_peak> retry_peaks(const soak_history& history);
 
-/// Returns the broken promises: REFUSED, TWICE, BUDGET and LOST.
+/// Returns the broken promises: REFUSED, TWICE, LOST, and BUDGET in all its forms: retries, targets of a
+/// request, time handed on, requests that end targets, and targets that ask for rest.
 [[nodiscard]] std::vector<soak_finding> judge(const soak_history& history);
 
 } // namespace teaseltally::test
--- a/tests/support/soak_site.cpp
+++ b/tests/support/soak_site.cpp
@@ -285,20 +285,37 @@
         call->process_disturbed = true;
 }
 
+time_point& soak_site::begin_disturbance(std::size_t front)
+{
+    return disturbed_.emplace_back(site.fronts[front]->address(), boot_clock::now(), time_point::max()).to;
+}
+
+asio::awaitable<void> soak_site::send_lethal(std::size_t service)
+{
+    const count_guard caller(callers_);
+    const auto& name = plan_.services[service].name;
+    caller_request request{"lethal-" + std::to_string(next_id_++), lethal_caller, "/" + name + "/lethal",
+                           lethal_key, true};
+    co_await call(site.fronts[random_() % plan_.fronts]->callers(), std::move(request));
+}
+
 asio::awaitable<void> soak_site::kill(std::size_t front, milliseconds down)
 {
     states_[front] = process_state::ended;
+    auto& ends_at = begin_disturbance(front);
     mark_disturbed(front);
     site.fronts[front]->kill();
     idle_[front].clear();
     co_await sleep_for(down);
     site.fronts[front]->start();
     states_[front] = process_state::running;
+    ends_at = boot_clock::now();
 }
 
 asio::awaitable<void> soak_site::replace(std::size_t front)
 {
     states_[front] = process_state::stopping;
+    auto& ends_at = begin_disturbance(front);
     auto& process = *site.fronts[front];
     process.signal(SIGTERM);
     const auto until = boot_clock::now() + grace_period;
@@ -309,16 +326,19 @@
     co_await sleep_for(restart_delay);
     process.start();
     states_[front] = process_state::running;
+    ends_at = boot_clock::now();
 }
 
 asio::awaitable<void> soak_site::pause(std::size_t front, milliseconds duration)
 {
     states_[front] = process_state::paused;
+    auto& ends_at = begin_disturbance(front);
     mark_disturbed(front);
     site.fronts[front]->signal(SIGSTOP);
     co_await sleep_for(duration);
     site.fronts[front]->signal(SIGCONT);
     states_[front] = process_state::running;
+    ends_at = boot_clock::now();
 }
 
 std::optional<std::size_t> soak_site::any_running(std::mt19937_64& random) const
@@ -334,7 +354,12 @@
 
 soak_history soak_site::history() const
 {
-    return {calls_, site.runs, arrivals_, plan_.retries};
+    return {calls_,
+            site.runs,
+            arrivals_,
+            plan_.retries,
+            soak_history{}.max_attempts,
+            {disturbed_.begin(), disturbed_.end()}};
 }
 
 } // namespace teaseltally::test
--- a/tests/support/soak_site.hpp
+++ b/tests/support/soak_site.hpp
@@ -6,6 +6,7 @@
 
 #include <teaseltally/count_guard.hpp>
 
+#include <deque>
 #include <random>
 
 /// @file
@@ -76,8 +77,14 @@
     [[nodiscard]] process_state state(std::size_t front) const { return states_.at(front); }
     /// Makes callers' requests to an instance count as disturbed from now on.
     void mark_disturbed(std::size_t front);
-    /// Sets how the requests of some targets fail.
+    /// Records that an instance is disturbed until the returned time is set, or the run ends.
+    [[nodiscard]] time_point& begin_disturbance(std::size_t front);
+    /// Sends the request that ends each target that executes it, to any instance. Its caller does not come
+    /// back by itself.
+    asio::awaitable<void> send_lethal(std::size_t service);
+    /// Returns what callers and targets have seen.
     [[nodiscard]] soak_history history() const;
+    [[nodiscard]] std::size_t service_count() const noexcept { return plan_.services.size(); }
     [[nodiscard]] std::size_t target_count() const noexcept { return site.targets.size(); }
     [[nodiscard]] link_proxy& proxy(std::size_t target) { return *proxies_.at(target); }
 
@@ -100,6 +107,7 @@
     std::vector<std::unique_ptr<link_proxy>> proxies_;
     std::vector<target_arrival> arrivals_;
     std::vector<soak_call> calls_;
+    std::deque<disturbed_span> disturbed_;
     /// Requests that have no answer yet, by instance.
     std::vector<std::set<soak_call*>> open_calls_;
     std::vector<process_state> states_;
