Start instances without retry tokens, so that restarts in series stay within the limit

What callers saw: none of it; targets got more repeats than the installation allows (rule BUDGET of the users' platform) while all instances were killed again and again.

Cause: each process began with one retry token, on top of the tokens that its predecessor had spent. The sum of all tokens is bounded by the slack only if tokens come from requests alone. Fewer than 0.25 x slack starts in ten seconds hid this; with 12 instances and a slack of 64, two starts of all of them use up that reserve.

Change: a bucket is empty at first. An instance gets its first retry after 7 requests to a service. The capacity of a share moves next to the bucket, so that the module test uses it.

The fixtures of two unit tests let their routers serve 7 requests first, since their cases are about what a retry does, not about who pays for it; the bounds of all cases are as before. The case about restarts gets no such requests.

--- a/include/teaseltally/admission/retry_token_bucket.hpp
+++ b/include/teaseltally/admission/retry_token_bucket.hpp
@@ -7,18 +7,26 @@
 
 namespace teaseltally {
 
+/// Share of the retry budget that is used; the rest covers requests that are counted late.
+inline constexpr double retry_budget_share = 0.75;
+
+/// Returns the largest number of tokens of one instance.
+/// @param slack number of retries that all instances may make beyond the ratio to the requests.
+/// @param instance_count number of instances that share them.
+[[nodiscard]] constexpr double retry_budget_capacity(double slack, unsigned instance_count) noexcept
+{
+    return std::max(1.0, slack * retry_budget_share / std::max(1U, instance_count));
+}
+
 /// Token bucket that gains a fraction of a token with each request and spends one token on each retry. In any
 /// interval it grants at most its capacity plus the ratio times the number of requests in that interval.
 class retry_token_bucket {
 public:
-    /// Creates a bucket with one token. A process that restarts does not know how many its predecessor spent,
-    /// so a full bucket at each start would exceed the limit.
+    /// Creates an empty bucket. A process that restarts does not know how many tokens its predecessor spent,
+    /// so tokens given at each start would exceed the limit in a series of restarts.
     /// @param ratio number of tokens deposited by one request.
     /// @param capacity maximum number of tokens held.
-    retry_token_bucket(double ratio, double capacity)
-        : ratio_(ratio), capacity_(capacity), tokens_(std::min(1.0, capacity))
-    {
-    }
+    retry_token_bucket(double ratio, double capacity) : ratio_(ratio), capacity_(capacity) {}
 
     /// Changes the capacity, for instance when the number of instances that share a limit changes. Tokens
     /// above the new capacity are dropped.
@@ -44,7 +52,7 @@
 private:
     double ratio_;
     double capacity_;
-    double tokens_;
+    double tokens_ = 0;
 };
 
 } // namespace teaseltally
--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -431,7 +431,6 @@
     [[nodiscard]] http_response make_failure_response(routed_request& request, std::string cause,
                                                       milliseconds retry_after) const;
     [[nodiscard]] time_point next_hedge_time(const routed_request& request, service_state& state) const;
-    [[nodiscard]] double retry_budget_capacity() const noexcept;
     /// Counts a send of a request, and spends a retry token if it repeats an earlier one.
     static void pay_for_send(const routed_request& request, service_state& state);
     [[nodiscard]] unsigned connection_limit(const std::string& service) const;
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -16,8 +16,6 @@
 
 namespace http = boost::beast::http;
 
-/// Share of the retry budget that is used; the rest covers requests that are counted late.
-constexpr double retry_budget_share = 0.75;
 /// Number of attempts allowed beyond the limit of the route if targets refuse without executing.
 constexpr unsigned extra_sends_after_refusal = 1;
 /// Time before the caller's deadline that is reserved for the transfer of the response.
@@ -131,7 +129,7 @@
     auto found = services_.find(service);
     if (found == services_.end()) {
         const retry_token_bucket retry_budget(settings_.retry_ratio * retry_budget_share,
-                                              retry_budget_capacity());
+                                              retry_budget_capacity(settings_.retry_burst, instance_count_));
         found = services_.emplace(service, service_state{retry_budget}).first;
     }
     return found->second;
@@ -213,16 +211,11 @@
                 request->wake.notify();
 }
 
-double request_router::retry_budget_capacity() const noexcept
-{
-    return std::max(1.0, settings_.retry_burst * retry_budget_share / instance_count_);
-}
-
 void request_router::set_instance_count(unsigned instance_count)
 {
     instance_count_ = std::max(1U, instance_count);
     for (auto& [name, state] : services_)
-        state.retry_budget.resize(retry_budget_capacity());
+        state.retry_budget.resize(retry_budget_capacity(settings_.retry_burst, instance_count_));
 }
 
 void request_router::pay_for_send(const routed_request& request, service_state& state)
@@ -249,7 +242,8 @@
         log_(line.add("paid_elsewhere", counts.paid_elsewhere)
                  .add("exhausted", counts.exhausted)
                  .add("tokens", std::to_string(state.retry_budget.tokens()))
-                 .add("capacity", std::to_string(retry_budget_capacity()))
+                 .add("capacity",
+                      std::to_string(retry_budget_capacity(settings_.retry_burst, instance_count_)))
                  .add("instances", instance_count_)
                  .text());
     }
--- a/tests/request_relay_tests.cpp
+++ b/tests/request_relay_tests.cpp
@@ -1,4 +1,5 @@
 #include "support/response_forms.hpp"
+#include "support/retry_tokens.hpp"
 #include "support/run.hpp"
 
 #include <teaseltally/knowledge/target_reachability.hpp>
@@ -187,6 +188,8 @@
         isolated.add_target("t2", unused);
         isolated.follow("n2", other);
         other.follow("n1", isolated);
+        save_retry_token(io, isolated.router);
+        save_retry_token(io, other.router);
     }
     static asio::awaitable<void> isolate(relaying_instance& instance)
     {
--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -129,6 +129,8 @@
     void say_leaving() { leaving_ = true; }
     /// Sets how the target fails from now on, with every second request that it executes.
     void set_failure(target_failure failure) { failure_ = failure; }
+    /// Sets how many requests wait for a slot from now on; further ones are refused.
+    void set_queue_length(unsigned length) { behaviour_.queue_length = length; }
     /// Sets a function that is called for each request that the target reads.
     void observe_arrivals(std::function<void(target_arrival)> observer) { observer_ = std::move(observer); }
     /// Ends the process: resets all connections, stops listening and restarts later.
--- a/tests/target_exchange_tests.cpp
+++ b/tests/target_exchange_tests.cpp
@@ -1,4 +1,5 @@
 #include "support/response_forms.hpp"
+#include "support/retry_tokens.hpp"
 #include "support/run.hpp"
 
 #include <teaseltally/net/caller_server.hpp>
@@ -153,8 +154,10 @@
 
 /// A router and its caller server, with one route to one service of scripted targets.
 struct router_fixture {
+    /// @param saves_token whether the router has served requests that pay for a retry.
     explicit router_fixture(execution_semantics semantics, double retry_burst = 1000,
-                            unsigned max_attempts = 2, unsigned max_connections = 1000)
+                            unsigned max_attempts = 2, unsigned max_connections = 1000,
+                            bool saves_token = true)
         : router(io.get_executor(), {"a", 0.2, retry_burst, {}},
                  [this](const std::string& line) { log_lines.push_back(line); }),
           callers(io.get_executor(), any_port, 100, router)
@@ -174,6 +177,9 @@
         configured.services["s"] = {"s", "/health", max_connections, false};
         router.configure(std::move(configured));
         router.set_instance_count(1);
+        if (saves_token)
+            save_retry_token(io, router);
+        log_lines.clear();
     }
 
     scripted_target& add_target()
@@ -671,7 +677,7 @@
     constexpr unsigned requests_per_run = 20;
     std::size_t repeats = 0;
     for (unsigned run = 0; run < restarts; ++run) {
-        router_fixture fixture(execution_semantics::idempotent, burst);
+        router_fixture fixture(execution_semantics::idempotent, burst, 2, 1000, false);
         // Each target fails once, after which it is not chosen for a while.
         for (unsigned index = 0; index < 2 * requests_per_run; ++index)
             fixture.add_target().enqueue_response("", true);
@@ -996,7 +1002,7 @@
         live_target->enqueue_response(refusal_response);
     for (int index = 0; index < request_count; ++index)
         CHECK(fixture.send_request("q").result_int() == 503);
-    // One attempt per request, the initial token, and 0.2 x 0.75 of a token per request.
+    // One attempt per request, the token held at first, and 0.2 x 0.75 of a token per request.
     CHECK(live_target->requests() <= request_count + 1 + request_count * 15 / 100);
 }
 
