Don't handle a request whose sender has closed its connection before it is read

An instance that froze sent requests to targets after its thaw that other instances had passed to it and had given up: their callers had been answered 504 at their deadlines. A reset does not discard bytes that have already arrived, so the server read the request, and the time that it names begins to count when it is read. The wait for the close began beside the handler, after it had started; requests that may run once are not cancelled then.

No promise was broken by that, since an instance that gives up a request that it has passed on promises nothing (front_relay_promises), but targets ran requests for callers who had left (GONE).

http_server now looks for the close before it calls its handler, as caller_server does; the check is shared.

--- a/include/teaseltally/net/http.hpp
+++ b/include/teaseltally/net/http.hpp
@@ -175,8 +175,8 @@
 
     /// Starts listening.
     /// @param listen_endpoint address and port; port 0 lets the system assign one.
-    /// @param request_handler returns the response to a request; it is cancelled when the client closes its
-    /// connection.
+    /// @param request_handler returns the response to a request; it is not called if the client has closed
+    /// its connection before, and cancelled when the client closes it.
     /// @throws boost::system::system_error if the endpoint cannot be bound.
     http_server(asio::any_io_executor executor, const tcp_endpoint& listen_endpoint,
                 http_server_limits limits, handler request_handler);
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -1,6 +1,7 @@
 #include <teaseltally/count_guard.hpp>
 #include <teaseltally/net/caller_server.hpp>
 #include <teaseltally/net/message_framing.hpp>
+#include <teaseltally/net/socket_state.hpp>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
@@ -11,7 +12,6 @@
 #include <boost/beast/http/write.hpp>
 
 #include <array>
-#include <sys/socket.h>
 
 namespace teaseltally {
 namespace {
@@ -52,14 +52,6 @@
            ec.category() == http::make_error_code(http::error::bad_value).category();
 }
 
-/// Returns whether the peer has closed the connection and no received bytes are left to read.
-bool peer_has_closed(asio::ip::tcp::socket& socket)
-{
-    char byte = 0;
-    const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 /// Detects that a caller closes its connection while its request is being routed.
 class disconnect_monitor {
 public:
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -1,6 +1,7 @@
 #include <teaseltally/count_guard.hpp>
 #include <teaseltally/net/http.hpp>
 #include <teaseltally/net/message_framing.hpp>
+#include <teaseltally/net/socket_state.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -362,6 +363,9 @@
         }
         if (ec)
             break;
+        // The client may have given up before its request was read, and the time that it names has passed.
+        if (buffer.size() == 0 && peer_has_closed(stream.socket()))
+            break;
         const count_guard answering(active_requests);
         auto request = parser.release();
         const bool keep_alive = request.keep_alive();
--- a/tests/front_relay_tests.cpp
+++ b/tests/front_relay_tests.cpp
@@ -100,6 +100,19 @@
         site.fronts[front]->signal(SIGCONT);
     }
     [[nodiscard]] soak_history history() const { return {calls_, site.runs, arrivals_, {}, 2}; }
+    /// Returns how many requests of undisturbed instances reached a target longer than a time after their
+    /// answers.
+    [[nodiscard]] std::size_t arrivals_after_answer(milliseconds tolerance) const
+    {
+        std::map<std::string, time_point> answered;
+        for (const auto& call : calls_)
+            if (!call.process_disturbed)
+                answered[call.id] = call.ended;
+        return static_cast<std::size_t>(std::ranges::count_if(arrivals_, [&](const target_arrival& arrival) {
+            const auto found = answered.find(arrival.request_id);
+            return found != answered.end() && arrival.at > found->second + tolerance;
+        }));
+    }
     [[nodiscard]] std::map<unsigned, std::size_t> statuses() const
     {
         std::map<unsigned, std::size_t> counts;
@@ -283,3 +296,26 @@
 {
     play(false);
 }
+
+// Guards against requests that a frozen instance sends to targets after its thaw, although the instance that
+// passed them on has answered their callers (GONE).
+TEST_CASE("an instance that thaws sends no target the requests that were given up meanwhile")
+{
+    constexpr milliseconds frozen_time{4000};
+    constexpr milliseconds tolerance{500};
+    for (const bool at_most_once : {true, false}) {
+        INFO(at_most_once);
+        relay_play test(at_most_once, false, 1);
+        run(test.site.io, [&]() -> asio::awaitable<void> {
+            co_await test.start();
+            for (std::size_t front = sender_count; front < test.site.fronts.size(); ++front)
+                asio::co_spawn(test.site.io, test.pause(front, frozen_time), asio::detached);
+            co_await sleep_for(frozen_time + milliseconds{1000});
+            co_await test.stop();
+        });
+        const auto late = test.arrivals_after_answer(tolerance);
+        MESSAGE(late << " requests reached a target after their answers");
+        CHECK(late == 0);
+        check(test, at_most_once ? "once only" : "repeatable");
+    }
+}
--- a/tests/http_tests.cpp
+++ b/tests/http_tests.cpp
@@ -221,6 +221,39 @@
     });
 }
 
+// Guards against requests that run although their sender has given them up while the server was frozen
+// (GONE).
+TEST_CASE("a server does not handle a request whose sender has closed the connection before it was read")
+{
+    for (const bool resets : {false, true}) {
+        INFO(resets);
+        asio::io_context io(1);
+        std::size_t handled = 0;
+        http_server server(io.get_executor(), any_port, {},
+                           [&](http_request) -> asio::awaitable<http_response> {
+                               ++handled;
+                               co_return make_response(200, "");
+                           });
+        run(io, [&]() -> asio::awaitable<void> {
+            const std::string bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+            asio::ip::tcp::socket socket(io);
+            co_await socket.async_connect(server.local_endpoint(), as_result);
+            co_await asio::async_write(socket, asio::buffer(bytes), as_result);
+            asio::streambuf buffer;
+            co_await asio::async_read_until(socket, buffer, "\r\n\r\n", as_result);
+            REQUIRE(handled == 1);
+            // The server cannot run before this coroutine waits.
+            asio::write(socket, asio::buffer(bytes));
+            socket.set_option(asio::socket_base::linger(resets, 0));
+            socket.close();
+            co_await sleep_for(milliseconds{20});
+            while (server.active_requests() != 0)
+                co_await sleep_for(milliseconds{5});
+        });
+        CHECK(handled == 1);
+    }
+}
+
 TEST_CASE("a draining server answers further requests and closes their connections")
 {
     asio::io_context io(1);
