Count the attempts that still run when a request is passed on

A request that may run more than once reached three targets although its route allows two (BUDGET): an instance that loses its links while an attempt runs passes the request on, and told the other instance only of attempts that had ended. That one sent it to a target, lost the answer, and sent it to another.

The number of attempts with an unknown outcome that goes with the request now includes those that run. They are taken off the result again, since they are counted where they were made, when they end.

Before: the test saw 2 requests arrive from the second instance, besides the one that still ran at the first one's target; now 1. The number of attempts was passed on rightly before, so retries were paid for.

--- a/src/net/request_links.cpp
+++ b/src/net/request_links.cpp
@@ -150,12 +150,17 @@
                                                 std::shared_ptr<relay_attempt> attempt, feed_member to)
 {
     const auto remaining = std::chrono::duration_cast<milliseconds>(request->deadline - boot_clock::now());
+    // The targets of these attempts may execute the request, whatever becomes of it elsewhere.
+    const auto running = static_cast<unsigned>(
+        std::ranges::count_if(request->attempts, [](const auto& earlier) { return !earlier->ended; }));
     relayed_request relayed{request->message, request->caller, request->service, request->sends,
-                            request->unknown_outcomes};
+                            request->unknown_outcomes + running};
     relayed.message.set(settings_.headers.deadline_ms,
                         std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
     auto result = co_await relay_->send(std::move(to), std::move(relayed), request->deadline);
     attempt->result = std::move(result);
+    // They are counted where they were made, when they end.
+    attempt->result.unknown_outcomes -= std::min(running, attempt->result.unknown_outcomes);
     attempt->ended = true;
     request->wake.notify();
 }
--- a/tests/request_relay_tests.cpp
+++ b/tests/request_relay_tests.cpp
@@ -42,6 +42,9 @@
         resets_ = reset;
     }
 
+    /// Refuses new connections from now on.
+    void stop_listening() { acceptor_.close(); }
+
     std::vector<http_request> requests;
     std::size_t closed = 0;
     /// Number of requests after which the target answers each one.
@@ -531,6 +534,36 @@
     CHECK(static_cast<double>(retries) <= retry_ratio * request_count + 2 * retry_burst / instances);
 }
 
+// Guards against requests that run at more targets than their route allows, as the instance that they are
+// passed to does not count the attempt that still runs where they come from (BUDGET).
+TEST_CASE("an attempt that runs when a request is passed on counts towards the attempts of its route")
+{
+    relay_fixture site(execution_semantics::idempotent, target_reaction::stay_silent);
+    reacting_target second(site.io, target_reaction::reset);
+    reacting_target third(site.io, target_reaction::reset);
+    site.isolated.router.remove_target("t1");
+    site.isolated.router.remove_target("t2");
+    site.isolated.add_target("t1", site.target.endpoint());
+    site.other.add_target("t2", second.endpoint());
+    site.other.add_target("t3", third.endpoint());
+    run(site.io, [&]() -> asio::awaitable<void> {
+        asio::co_spawn(
+            site.io,
+            [&site]() -> asio::awaitable<void> {
+                static_cast<void>(co_await site.isolated.router.serve(site.make_routed()));
+            },
+            asio::detached);
+        while (site.target.requests.empty())
+            co_await sleep_for(milliseconds{5});
+        site.target.stop_listening();
+        site.isolated.add_target("t2", site.unused);
+        co_await relay_fixture::isolate(site.isolated);
+        co_await sleep_for(milliseconds{600});
+    });
+    CHECK(site.target.requests.size() == 1);
+    CHECK(second.requests.size() + third.requests.size() == 1);
+}
+
 // Guards against requests that go from instance to instance.
 TEST_CASE(
     "an instance that reaches no target declines relayed requests, and the caller is told when to return")
