--- a/tests/soak.cpp
+++ b/tests/soak.cpp
@@ -233,6 +233,7 @@
             if (other != front && random_() % 3 == 0)
                 fronts.push_back(other);
         std::vector<time_point*> ends;
+        ends.reserve(fronts.size());
         for (const auto cut : fronts)
             ends.push_back(&site_.begin_disturbance(cut));
         const auto links = random_() % 2 == 0 ? target_links::refused : target_links::silent;
@@ -259,6 +260,7 @@
         store_is_away_ = true;
         // While the store is disturbed no instance is in touch.
         std::vector<time_point*> ends;
+        ends.reserve(site_.site.fronts.size());
         for (std::size_t front = 0; front < site_.site.fronts.size(); ++front)
             ends.push_back(&site_.begin_disturbance(front));
         site_.site.store.go_away(random_() % 2 == 0 ? store_access::refused : store_access::silent);
--- a/tests/support/soak_judge.cpp
+++ b/tests/support/soak_judge.cpp
@@ -140,6 +140,7 @@
     if (ended.size() < tolerated_ends)
         return;
     std::vector<time_point> ends;
+    ends.reserve(ended.size());
     for (const auto& [target, time] : ended)
         ends.push_back(time);
     std::ranges::sort(ends);
--- a/tests/support/soak_site.cpp
+++ b/tests/support/soak_site.cpp
@@ -287,7 +287,8 @@
 
 time_point& soak_site::begin_disturbance(std::size_t front)
 {
-    return disturbed_.emplace_back(site.fronts[front]->address(), boot_clock::now(), time_point::max()).to;
+    disturbed_.push_back({site.fronts[front]->address(), boot_clock::now(), time_point::max()});
+    return disturbed_.back().to;
 }
 
 asio::awaitable<void> soak_site::send_lethal(std::size_t service)
