Promise nothing for a refusal of another instance while an attempt runs where the request came from

Cause: an instance without links passes a request on although an attempt of its own still runs, and takes the refusal of the other instance for the end of all attempts. Requests that may run once can't have both.

The test fails before (503 instead of 502), and passes now.

--- a/src/net/request_links.cpp
+++ b/src/net/request_links.cpp
@@ -178,6 +178,8 @@
         return std::move(result.response);
     case relay_status::refused:
         request.cause = "refused by another instance";
+        // The target of an attempt that still runs here may execute the request.
+        request.may_have_executed = request.may_have_executed || request.has_running_attempt();
         if (request.may_have_executed)
             return make_failure_response(request, request.cause, {});
         return std::move(result.response);
--- a/tests/request_relay_tests.cpp
+++ b/tests/request_relay_tests.cpp
@@ -567,6 +567,37 @@
     CHECK(second.requests.size() + third.requests.size() == 1);
 }
 
+// Guards against a promise that rests on the refusal of another instance alone, while the attempt of the
+// instance that asked it still runs at a target (REFUSED).
+TEST_CASE("a refusal of another instance promises nothing while an attempt runs where the request came from")
+{
+    relay_fixture site(execution_semantics::idempotent, target_reaction::stay_silent);
+    reacting_target refusing(site.io, target_reaction::refuse);
+    site.isolated.router.remove_target("t1");
+    site.isolated.router.remove_target("t2");
+    site.isolated.add_target("t1", site.target.endpoint());
+    site.other.add_target("t2", refusing.endpoint());
+    std::optional<http_response> response;
+    run(site.io, [&]() -> asio::awaitable<void> {
+        asio::co_spawn(
+            site.io,
+            [&]() -> asio::awaitable<void> {
+                response = co_await site.isolated.router.serve(site.make_routed());
+            },
+            asio::detached);
+        while (site.target.requests.empty())
+            co_await sleep_for(milliseconds{5});
+        site.target.stop_listening();
+        site.isolated.add_target("t2", site.unused);
+        co_await relay_fixture::isolate(site.isolated);
+        co_await sleep_for(milliseconds{800});
+    });
+    CHECK(site.target.requests.size() == 1);
+    CHECK(!refusing.requests.empty());
+    REQUIRE(response.has_value());
+    CHECK(response->result_int() == 502);
+}
+
 // Guards against requests that go from instance to instance.
 TEST_CASE(
     "an instance that reaches no target declines relayed requests, and the caller is told when to return")
