Count the calls to the store by purpose in a log line

The new test checks the counts of served, refused and unanswered calls; before, there was nothing to check.

--- a/tests/store_client_tests.cpp
+++ b/tests/store_client_tests.cpp
@@ -148,6 +148,45 @@
     CHECK(append_to(closed) == append_status::not_applied);
 }
 
+// Guards against calls that cost something and show nowhere, refused ones above all.
+TEST_CASE("calls are counted by purpose, refused and unanswered ones apart")
+{
+    asio::io_context io(1);
+    {
+        scripted_store store(io);
+        CHECK(store.client.calls().take_line().empty());
+        store.script = {page(7), make_response(429, ""), make_response(200, newest_page),
+                        make_response(200, R"({"offset":7,"end":8})")};
+        run(io, [&]() -> asio::awaitable<void> {
+            for (int read = 0; read < 2; ++read) {
+                std::string topic = "keyed.t";
+                static_cast<void>(co_await store.client.read(std::move(topic), {0, 7}, milliseconds{0}));
+            }
+            std::string topic = "keyed.t";
+            static_cast<void>(co_await store.client.read_newest(std::move(topic)));
+            std::vector<append_order::record> records;
+            records.push_back({"a", "one"});
+            topic = "keyed.u";
+            static_cast<void>(co_await store.client.append(topic, std::nullopt, std::move(records)));
+        });
+        CHECK(store.client.calls().take_line() == "event=store_calls calls=4 refused=1 unanswered=0 "
+                                                  "keyed.t.newest=1 keyed.t.read=2 keyed.t.read.failed=1 "
+                                                  "keyed.u.append=1");
+        CHECK(store.client.calls().take_line().empty());
+    }
+    asio::ip::tcp::acceptor closed_acceptor(io, any_port);
+    const auto closed = closed_acceptor.local_endpoint();
+    closed_acceptor.close();
+    http_client connections(io.get_executor(), {});
+    store_client client(connections, closed);
+    run(io, [&]() -> asio::awaitable<void> {
+        std::string topic = "keyed.t";
+        static_cast<void>(co_await client.read_newest(std::move(topic)));
+    });
+    CHECK(client.calls().take_line() ==
+          "event=store_calls calls=1 refused=0 unanswered=1 keyed.t.newest=1 keyed.t.newest.failed=1");
+}
+
 TEST_CASE("read_newest reads all pages and returns the end offset of the first page")
 {
     asio::io_context io(1);
