Read the store with one instance of the deployment

The first instance of a data centre now follows the first one of the deployment if that precedes it in the order by capacity and name. Each instance still follows only one that precedes it, so there is no cycle, also beside earlier versions, whose first instances read the store. If the first one does not answer or is stale, the store is read as before. Reports of traffic still go from the first instance of each data centre to the coordinator directly.

Each hop of the tree added up to 400 ms to the age of the targets, and one more would have exceeded the limit of 1.3 s. A request for updates names the age that the follower knows (`Stream-Age`), and is answered as soon as the targets are confirmed by a later read. Requests of earlier versions are answered once the targets are confirmed anew.

The new unit tests failed before: the first instance of a data centre read the store, and a follower waited 400 ms for a more recent confirmation.

--- a/include/teaseltally/net/peer_feed.hpp
+++ b/include/teaseltally/net/peer_feed.hpp
@@ -54,11 +54,12 @@
     std::string failure;
 };
 
-/// Replicates the streams from another instance of the data centre by long polling. The instances of a data
-/// centre form a tree ordered by `precedes`, with `fan_out` children per instance, and the root reads the
-/// store. An instance that is unreachable, or whose streams are out of date, is skipped in favour of the
-/// next. If an instance has to read the store but the store is unavailable, it follows any other instance,
-/// also one in another data centre.
+/// Replicates the streams from another instance by long polling. The instances of a data centre form a tree
+/// ordered by `precedes`, with `fan_out` children per instance. Its root follows the first instance of the
+/// deployment, and only that one reads the store. Since each instance follows one that precedes it, there is
+/// no cycle, also if the lists of members differ. An instance that is unreachable, or whose streams are out
+/// of date, is skipped in favour of the next, and the store is read if there is none. If an instance has to
+/// read the store but the store is unavailable, it follows any other instance.
 class peer_feed {
 public:
     /// Maximum number of instances that follow one instance while all of them are reachable.
@@ -87,8 +88,8 @@
     [[nodiscard]] asio::awaitable<void> run();
     /// Returns whether `run` has been started.
     [[nodiscard]] bool started() const noexcept { return started_; }
-    /// Returns the address of the preceding instance that this instance follows; nothing if it follows none.
-    /// An instance that is followed only because the store is unavailable does not count.
+    /// Returns the address of the preceding instance of the data centre that this instance follows; nothing
+    /// if it follows none. An instance that is followed only because the store is unavailable does not count.
     [[nodiscard]] const std::optional<std::string>& followed_address() const noexcept
     {
         return followed_address_;
@@ -117,7 +118,9 @@
     /// value is then sent as differences, or left out if it is very large and other streams are requested
     /// with it (see `large_value_form`). The header `Stream-Eras` holds the era of each entry; without it,
     /// from an instance of an earlier version, each is that of the local stream, and after the first era,
-    /// each change of a stream is answered with a snapshot of it.
+    /// each change of a stream is answered with a snapshot of it. The header `Stream-Age` holds the age of
+    /// the other instance's targets in milliseconds: the response is sent as soon as the local ones are more
+    /// recent.
     /// @returns the updates, or a response with status 400 if the request is malformed.
     [[nodiscard]] asio::awaitable<http_response> handle_request(http_request request);
     /// Wakes the requests that wait for updates; called when a local stream has changed.
--- a/src/net/peer_feed.cpp
+++ b/src/net/peer_feed.cpp
@@ -40,6 +40,15 @@
 /// Header of a request with the digests of the large values that the sender has, one for each stream, 0 for
 /// none. It says that the sender takes differences (see `large_value_form`).
 constexpr auto digests_header = "Stream-Digests";
+/// Header of a request with the age of the sender's stream of targets in milliseconds. The response is then
+/// sent as soon as the stream of the other instance is more recent. Otherwise each hop in the tree would add
+/// up to `long_poll_timeout` to the age, and three hops exceed `max_targets_age`.
+constexpr auto age_header = "Stream-Age";
+/// Difference of two ages that counts as more recent. Ages differ by the time that messages take, also at
+/// instances that get a tenth of a core in periods of 100 ms.
+constexpr milliseconds min_refresh{100};
+/// Age above which another instance counts as knowing nothing of the targets.
+constexpr milliseconds max_known_age{60'000};
 /// Number of streams that instances without the stream of crashes follow.
 constexpr std::size_t min_stream_count = 4;
 constexpr milliseconds reader_check_interval{1000};
@@ -125,11 +134,16 @@
     for (const auto& member : members_)
         if (member.data_centre == self_.data_centre && precedes(member, self_))
             preceding.push_back(member);
-    if (preceding.empty())
-        return preceding;
-    std::ranges::sort(preceding, precedes);
-    const auto parent = static_cast<std::ptrdiff_t>((preceding.size() - 1) / fan_out);
-    std::rotate(preceding.begin(), preceding.begin() + parent, preceding.begin() + parent + 1);
+    if (preceding.empty()) {
+        const auto first = std::ranges::min_element(members_, precedes);
+        if (first != members_.end() && precedes(*first, self_))
+            preceding.push_back(*first);
+    }
+    else {
+        std::ranges::sort(preceding, precedes);
+        const auto parent = static_cast<std::ptrdiff_t>((preceding.size() - 1) / fan_out);
+        std::rotate(preceding.begin(), preceding.begin() + parent, preceding.begin() + parent + 1);
+    }
     const auto now = boot_clock::now();
     std::erase_if(preceding, [&](const feed_member& member) {
         const auto entry = backoffs_.find(member.instance);
@@ -218,6 +232,8 @@
     const auto digests = large_value_digests();
     request.set(digests_header, encode(digests));
     const auto sent_at = boot_clock::now();
+    const auto age = sent_at - local_streams_[index_of(stream_kind::targets)].last_read_sent();
+    request.set(age_header, std::to_string(std::chrono::duration_cast<milliseconds>(age).count()));
     const exchange_limits limits{sent_at + max_wait, max_pause, sent_at + max_transfer_duration};
     auto outcome = co_await client_.exchange(std::get<tcp_endpoint>(endpoint), std::move(request), limits);
     feed_exchange ended{std::move(address), 0, {}, {}};
@@ -304,7 +320,8 @@
             failed_transfer_source_.reset();
         if (answered && completes_transfers && streams_are_fresh(boot_clock::now())) {
             backoffs_.erase(member.instance);
-            followed_address_ = member.address;
+            if (member.data_centre == self_.data_centre)
+                followed_address_ = member.address;
             failed_transfer_source_.reset();
             co_return true;
         }
@@ -391,13 +408,30 @@
         is_ambiguous[kind] = !eras && next.era > first_era;
         is_ahead[kind] = is_ambiguous[kind] && from[kind] > next;
     }
+    const auto& targets = local_streams_[index_of(stream_kind::targets)];
+    // An earlier version names no age; its request is answered once the stream is more recent than now.
+    auto known_read = targets.last_read_sent();
+    if (const auto named = request.find(age_header); named != request.end()) {
+        const auto age = parse_numbers(named->value());
+        if (!age || age->size() != 1)
+            co_return make_response(400, std::string{age_header} + ": expected a number\n");
+        const milliseconds known_age{
+            std::min<std::uint64_t>(age->front(), static_cast<std::uint64_t>(max_known_age.count()))};
+        known_read = boot_clock::now() - known_age;
+    }
+    // In another era, the follower would not use the age and would ask again at once.
+    const auto is_more_recent = [&] {
+        const auto& known = from[index_of(stream_kind::targets)];
+        return requested[index_of(stream_kind::targets)] && known && known->era == targets.next().era &&
+               targets.last_read_sent() > known_read + min_refresh;
+    };
     const auto has_changes = [&](std::size_t kind) {
         return local_streams_[kind].has_changes_since(from[kind]) ||
                (is_ahead[kind] && local_streams_[kind].next() >= from[kind]);
     };
     // An instance that has just started waits until it has every requested stream.
     const auto has_updates = [&] {
-        bool updates = false;
+        bool updates = is_more_recent();
         for (std::size_t kind = 0; kind < stream_kind_count; ++kind) {
             if (requested[kind] && !local_streams_[kind].has_snapshot())
                 return false;
--- a/tests/peer_feed_tests.cpp
+++ b/tests/peer_feed_tests.cpp
@@ -42,12 +42,15 @@
     http_server server;
 };
 
-/// Runs the feed of an instance until it sends its first request to another instance.
+/// Runs the feed of an instance "x" until it sends its first request to another instance.
 /// @param capacity capacity of the instance.
-/// @param others identifiers and capacities of the other instances.
-/// @returns the identifier of the instance that receives the first request.
+/// @param others identifiers and capacities of the other instances; those whose identifier begins with "b"
+/// are in another data centre if `remote` is set.
+/// @returns the identifier of the instance that receives the first request; empty if the instance reads the
+/// store first.
 std::string first_followed_instance(unsigned capacity,
-                                    const std::vector<std::pair<std::string, unsigned>>& others)
+                                    const std::vector<std::pair<std::string, unsigned>>& others,
+                                    bool remote = false)
 {
     asio::io_context io(1);
     std::string followed;
@@ -61,6 +64,8 @@
                                  co_return make_response(200, "");
                              });
         members.push_back(member(name, servers.back().local_endpoint(), other_capacity));
+        if (remote && name.starts_with("b"))
+            members.back().data_centre = "b";
     }
     peer_feed::streams known;
     http_client client(io.get_executor(), {});
@@ -68,6 +73,9 @@
                    [](stream_kind, const stream_delta&) {});
     feed.set_members(members);
     asio::co_spawn(io, feed.run(), asio::detached);
+    io.poll();
+    if (feed.reads_store())
+        return {};
     io.run();
     return followed;
 }
@@ -203,6 +211,56 @@
     CHECK(!precedes({"a", "a", "", 1}, {"b", "a", "", 2}));
 }
 
+// Guards against one reader of the store for each data centre, and against cycles over data centres.
+TEST_CASE("the first instance of a data centre follows the first of the deployment if that precedes it")
+{
+    CHECK(first_followed_instance(100, {{"b2", 200}, {"b1", 300}, {"z", 50}}, true) == "b1");
+    CHECK(first_followed_instance(100, {{"b1", 300}, {"a", 200}}, true) == "a");
+    CHECK(first_followed_instance(100, {{"b1", 100}, {"y", 100}}, true) == "b1");
+    CHECK(first_followed_instance(100, {{"b1", 50}, {"y", 100}}, true).empty());
+    CHECK(first_followed_instance(100, {}, true).empty());
+}
+
+// Guards against streams that grow older with each hop of the tree.
+TEST_CASE("a follower gets an answer as soon as the targets of the other instance are more recent")
+{
+    asio::io_context io(1);
+    feeding_instance other(io);
+    const auto confirm = [&](milliseconds age) {
+        for (auto& stream : other.known)
+            stream.mark_caught_up(boot_clock::now() - age, {0, 4});
+        other.feed.notify_followers();
+    };
+    const auto answer_time = [&](const char* age, std::optional<milliseconds> confirmed_after) {
+        confirm(milliseconds{0});
+        const auto sent_at = boot_clock::now();
+        time_point answered_at{};
+        run(io, [&]() -> asio::awaitable<void> {
+            asio::steady_timer timer(io);
+            if (confirmed_after) {
+                timer.expires_after(*confirmed_after);
+                timer.async_wait([&](boost::system::error_code) { confirm(milliseconds{0}); });
+            }
+            auto request = make_request(boost::beast::http::verb::post, "/feed", "[4,4,4,4,4]");
+            if (*age != '\0')
+                request.set("Stream-Age", age);
+            const auto response = co_await other.feed.handle_request(std::move(request));
+            CHECK(response.result_int() == 200);
+            answered_at = boot_clock::now();
+        });
+        return answered_at - sent_at;
+    };
+    constexpr milliseconds long_poll{390};
+    CHECK(answer_time("700", std::nullopt) < milliseconds{100});
+    CHECK(answer_time("0", std::nullopt) >= long_poll);
+    const auto after_read = answer_time("0", milliseconds{200});
+    CHECK(after_read >= milliseconds{200});
+    CHECK(after_read < milliseconds{300});
+    // Earlier versions name no age.
+    CHECK(answer_time("", std::nullopt) >= long_poll);
+    CHECK(answer_time("", milliseconds{200}) < milliseconds{300});
+}
+
 TEST_CASE("with fan_out preceding instances the first of them is followed, and with one more the second")
 {
     std::vector<std::pair<std::string, unsigned>> preceding;
