Let orders to one target wait for each other instead of failing

An order beyond the 32 connections that the coordinator opens to one target failed as not sent at once and counted as a failure of the target.

Further ones stay due and are sent as soon as others complete, so that the time of a grant still counts from its sending. Grants and releases have limits of their own, since a release occupies its connection for up to 2.5 s. A target that did not answer the last order gets one grant and one release in a tick until it answers. As few of its ranges are tried then, all of them whose grants have lapsed are moved once one has failed for the failure timeout. The simulation sends follow-up orders too.

--- a/include/teaseltally/ownership/holder_sweep.hpp
+++ b/include/teaseltally/ownership/holder_sweep.hpp
@@ -14,6 +14,9 @@
 
 namespace teaseltally {
 
+/// Maximum number of releases of a sweep to one target that are under way at the same time.
+inline constexpr std::size_t max_swept_releases_per_target = 16;
+
 /// Tells a target to release keys.
 struct release_order {
     /// Id to pass to `range_manager::on_order_completed`.
--- a/include/teaseltally/ownership/range_manager.hpp
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -57,6 +57,12 @@
     milliseconds registration_return{2500};
 };
 
+/// Maximum numbers of grants and of releases to one target that are under way at the same time. Further ones
+/// wait until these have completed. A target accepts a limited number of connections from all instances
+/// together, and a release may occupy its connection for seconds, so that grants do not wait for releases.
+inline constexpr std::size_t max_grants_per_target = 4;
+inline constexpr std::size_t max_releases_per_target = 8;
+
 /// Appends records to the ownership log on condition that its end is at an expected position.
 struct append_order {
     /// Key and encoded value of a log record.
@@ -177,6 +183,10 @@
     /// Handles the result of an order to a target.
     /// @param handover handover data that the target returned on release; may be empty.
     void on_order_completed(time_point now, std::uint64_t id, order_status status, std::string handover);
+    /// Returns the orders that waited for the completion of others to the same target; none if there are none
+    /// or before the next call of `on_order_completed`.
+    /// @param now time, not before that of the previous call.
+    [[nodiscard]] std::vector<ownership_action> follow_up_orders(time_point now);
 
     /// Load of one target that owns keys.
     struct owner_load {
@@ -201,6 +211,9 @@
     [[nodiscard]] bool is_continuous() const noexcept { return is_coordinator_ && continuous_; }
     /// Returns the number of ranges that this instance manages.
     [[nodiscard]] std::size_t range_count() const;
+    /// Returns the number of grants and releases that were due when orders were last sent and waited because
+    /// others to the same targets had not completed.
+    [[nodiscard]] std::size_t waiting_orders() const noexcept { return waiting_orders_; }
     /// Returns the exclusion of targets that may hold keys unknown to this instance.
     [[nodiscard]] const holder_sweep& sweep() const noexcept { return sweep_; }
 
@@ -338,24 +351,48 @@
     [[nodiscard]] std::vector<balance_target> candidates(time_point now, const ownership_view& view,
                                                          const std::string& service,
                                                          bool ignore_suspended) const;
-    void send_orders(time_point now, std::vector<ownership_action>& actions);
+    /// Numbers of orders to one target that have not completed.
+    struct order_counts {
+        std::size_t grants = 0;
+        std::size_t releases = 0;
+    };
+    using order_count_table = std::map<std::string, order_counts, std::less<>>;
+    /// Sends the orders that are due, to each target only as many as may be under way at the same time.
+    /// @param to_unresponsive whether targets that did not answer the last order get the next one.
+    void send_orders(time_point now, bool to_unresponsive, std::vector<ownership_action>& actions);
+    void send_grant(time_point now, managed_range& range, std::vector<ownership_action>& actions);
+    [[nodiscard]] bool is_grant_due(time_point now, const std::string& service,
+                                    const managed_range& range) const;
+    [[nodiscard]] order_count_table count_pending_orders() const;
+    /// Returns how many orders to a target may be under way: the given number, one if the target did not
+    /// answer the last order, or none if it did not and must not get the next one.
+    [[nodiscard]] std::size_t order_limit(const std::string& target, std::size_t limit,
+                                          bool to_unresponsive) const;
+    /// Notes whether a target answers, from the result of an order to it.
+    void note_answer(const std::string& target, order_status status, bool is_release);
     void complete_release(time_point now, managed_range& range, std::uint64_t id, order_status status,
                           const std::string& handover) const;
     void complete_grant(time_point now, managed_range& range, order_status status) const;
-    void release_former(time_point now, managed_range& range, std::vector<ownership_action>& actions);
+    void release_former(time_point now, managed_range& range, bool to_unresponsive,
+                        order_count_table& pending, std::vector<ownership_action>& actions);
     /// Returns the identifiers of the targets that are known to have ended or whose grants have failed for
     /// `failure_timeout`.
     /// @param ignore_suspended whether failed grants count only where they are renewed.
     [[nodiscard]] std::set<std::string_view> unavailable_targets(time_point now, const std::string& service,
                                                                  bool ignore_suspended) const;
     [[nodiscard]] bool is_failing(time_point now, const managed_range& range) const;
+    /// Returns whether grants to the owner of a range fail, for this range or for another one. Few ranges of
+    /// a target that does not answer are tried.
+    [[nodiscard]] bool is_owner_failing(time_point now, const service_ranges& ranges,
+                                        const managed_range& range) const;
     /// Grants keys again to owners that are registered and respond at their addresses after another process
     /// did so.
     void resume_confirmed(time_point now, const ownership_view& view);
     [[nodiscard]] bool has_pending_grant(std::string_view target, key_range keys) const;
     /// Returns whether a target that owns a range is gone or can't be reached, so that its grants for it need
     /// not be renewed until another owner is recorded.
-    [[nodiscard]] bool is_lost(time_point now, const ownership_view& view, const managed_range& range) const;
+    [[nodiscard]] bool is_lost(time_point now, const ownership_view& view, const service_ranges& ranges,
+                               const managed_range& range) const;
     /// Suspends the renewal of the grants of lost owners for keys that are assigned to other targets.
     void suspend_renewals(time_point now, const ownership_view& view, service_ranges& ranges,
                           const std::vector<balance_move>& moves) const;
@@ -435,6 +472,15 @@
     std::map<std::string, time_point, std::less<>> next_dominant_move_times_;
     std::uint64_t next_order_id_ = 1;
     std::map<std::uint64_t, pending_grant> pending_grants_;
+    /// Targets of the releases that have not completed, except those of the sweep, by the id of the order.
+    std::map<std::uint64_t, std::string> pending_releases_;
+    /// Ids of the targets that did not answer the last order.
+    std::set<std::string, std::less<>> unresponsive_targets_;
+    /// Ids of the targets for which orders waited when orders were last sent, and the number of these orders.
+    std::set<std::string, std::less<>> waiting_targets_;
+    std::size_t waiting_orders_ = 0;
+    /// Whether an order to one of these targets has completed since.
+    bool order_freed_ = false;
     std::map<std::string, service_ranges, std::less<>> ranges_;
     std::map<std::string, service_load, std::less<>> loads_;
     std::map<std::string, target_speed, std::less<>> speeds_;
--- a/src/ownership/holder_sweep.cpp
+++ b/src/ownership/holder_sweep.cpp
@@ -74,6 +74,8 @@
         for (const auto& pending : target.pending)
             runs = without(runs, pending.keys);
         for (const auto& run : runs) {
+            if (target.pending.size() >= max_swept_releases_per_target)
+                break;
             ++order_count_;
             target.pending.push_back({next_order_id, run});
             orders.push_back({next_order_id++, target.incarnation, run, fence_});
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -100,7 +100,7 @@
         plan(now, view, actions);
     if (now < authority_until_) {
         sweep_holders(now, view, actions);
-        send_orders(now, actions);
+        send_orders(now, true, actions);
     }
     return actions;
 }
@@ -303,8 +303,9 @@
     const auto needs_owner = [&](const owned_range& range) {
         const auto* entry = view.directory.find(range.owner.id);
         const auto* state = state_of(range);
-        if (state != nullptr && (state->owner_terminated || state->suspended_at ||
-                                 (is_failing(now, *state) && state->latest_grant_expiry < now)))
+        if (state != nullptr &&
+            (state->owner_terminated || state->suspended_at ||
+             (state->latest_grant_expiry < now && is_owner_failing(now, managed, *state))))
             return true;
         if (entry == nullptr)
             return view.directory_complete;
@@ -343,9 +344,10 @@
     return next;
 }
 
-bool range_manager::is_lost(time_point now, const ownership_view& view, const managed_range& range) const
+bool range_manager::is_lost(time_point now, const ownership_view& view, const service_ranges& ranges,
+                            const managed_range& range) const
 {
-    if (range.owner_terminated || is_failing(now, range))
+    if (range.owner_terminated || is_owner_failing(now, ranges, range))
         return true;
     const auto* entry = view.directory.find(range.owner.id);
     return entry == nullptr ? view.directory_complete : entry->start_unix_ms != range.owner.start_unix_ms;
@@ -355,9 +357,12 @@
                                      const std::vector<balance_move>& moves) const
 {
     for (auto& range : ranges)
-        if (is_lost(now, view, range) && std::ranges::any_of(moves, [&](const balance_move& move) {
-                return move.keys.overlaps(range.keys) && !same_incarnation(move.to, range.owner);
-            }))
+        if (std::ranges::any_of(moves,
+                                [&](const balance_move& move) {
+                                    return move.keys.overlaps(range.keys) &&
+                                           !same_incarnation(move.to, range.owner);
+                                }) &&
+            is_lost(now, view, ranges, range))
             // An earlier append with the grants' end may still be carried out.
             range.suspended_at = range.suspended_at.value_or(now);
 }
@@ -459,6 +464,14 @@
     return range.failing_since && now - *range.failing_since >= timing_.failure_timeout;
 }
 
+bool range_manager::is_owner_failing(time_point now, const service_ranges& ranges,
+                                     const managed_range& range) const
+{
+    return std::ranges::any_of(ranges, [&](const managed_range& other) {
+        return is_failing(now, other) && same_incarnation(other.owner, range.owner);
+    });
+}
+
 std::vector<range_manager::owner_load> range_manager::owner_loads(time_point now, const ownership_view& view,
                                                                   const std::string& service) const
 {
--- a/src/ownership/range_terms.cpp
+++ b/src/ownership/range_terms.cpp
@@ -46,6 +46,10 @@
     std::erase_if(known_targets_, [&](const auto& known) {
         return known.second.registered_until + 2 * max_stale_authority() < now;
     });
+    std::erase_if(unresponsive_targets_, [&](const std::string& id) {
+        return std::ranges::none_of(known_targets_,
+                                    [&](const auto& known) { return known.second.incarnation.id == id; });
+    });
 }
 
 bool range_manager::is_reported_idle(const coordinator_claim& claim) const noexcept
@@ -220,6 +224,7 @@
     term_began_ = view.log.claim()->began.value_or(view.log.claim()->log_time);
     last_append_ = now;
     ranges_.clear();
+    unresponsive_targets_.clear();
     first_reconcile_ = true;
     reconciled_position_ = {};
     if (view.log.claim()->unsettled && guards_.holder_sweep)
--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -47,29 +47,40 @@
     void step(milliseconds elapsed, order_status status)
     {
         now += elapsed;
-        for (auto& action : manager.tick(now, {log, directory, keyed, last_read.value_or(now), true, nullptr,
-                                               &leaving, std::nullopt, &unconfirmed})) {
-            if (const auto* append = std::get_if<append_order>(&action)) {
-                if (append_outcome == append_status::done)
-                    for (const auto& record : append->records)
-                        log.apply(now, record.key, record.value, log.position());
-                manager.on_append_completed(now, append_outcome);
-            }
-            else if (const auto* grant = std::get_if<grant_order>(&action)) {
-                grants.push_back(*grant);
-                const bool is_replaced = replaced.contains(grant->target.id);
-                if (is_replaced)
-                    unconfirmed.insert(incarnation_name(grant->target.id, grant->target.start_unix_ms));
-                manager.on_order_completed(now, grant->id,
-                                           is_replaced                   ? order_status::terminated
-                                           : grant->fence < lowest_fence ? order_status::conflict
-                                                                         : status,
-                                           {});
-            }
-            else {
-                releases.push_back(std::get<release_order>(action));
+        auto due = manager.tick(now, {log, directory, keyed, last_read.value_or(now), true, nullptr, &leaving,
+                                      std::nullopt, &unconfirmed});
+        while (!due.empty()) {
+            for (const auto& action : due)
+                perform(action, status);
+            due = manager.follow_up_orders(now);
+        }
+    }
+    void perform(const ownership_action& action, order_status status)
+    {
+        if (const auto* append = std::get_if<append_order>(&action)) {
+            if (append_outcome == append_status::done)
+                for (const auto& record : append->records)
+                    log.apply(now, record.key, record.value, log.position());
+            manager.on_append_completed(now, append_outcome);
+        }
+        else if (const auto* grant = std::get_if<grant_order>(&action)) {
+            grants.push_back(*grant);
+            if (unanswered.contains(grant->target.id))
+                return;
+            const bool is_replaced = replaced.contains(grant->target.id);
+            if (is_replaced)
+                unconfirmed.insert(incarnation_name(grant->target.id, grant->target.start_unix_ms));
+            manager.on_order_completed(now, grant->id,
+                                       is_replaced                           ? order_status::terminated
+                                       : grant->fence < lowest_fence         ? order_status::conflict
+                                       : refusing.contains(grant->target.id) ? order_status::refused
+                                                                             : status,
+                                       {});
+        }
+        else {
+            releases.push_back(std::get<release_order>(action));
+            if (!unanswered.contains(releases.back().target.id))
                 manager.on_order_completed(now, releases.back().id, status, {});
-            }
         }
     }
     /// Appends a record that assigns keys to another target.
@@ -88,6 +99,9 @@
     std::set<std::string, std::less<>> unconfirmed;
     /// Ids of targets at whose addresses other processes respond to grants.
     std::set<std::string, std::less<>> replaced;
+    /// Ids of targets whose hosts refuse grants, and of targets that do not respond to orders yet.
+    std::set<std::string, std::less<>> refusing;
+    std::set<std::string, std::less<>> unanswered;
     std::vector<grant_order> grants;
     std::vector<release_order> releases;
     /// Fencing token below which the targets refuse grants.
@@ -197,6 +211,91 @@
     CHECK(owns("t3"));
 }
 
+// Guards against orders beyond the coordinator's own limit of connections, which failed at once and counted
+// as failures of the target: its keys were moved or their grants lapsed.
+TEST_CASE("orders to one target wait for each other, and only for those to this target")
+{
+    single_coordinator site(2);
+    site.unanswered = {"t1"};
+    for (int step = 0; step < 6; ++step)
+        site.step(milliseconds{100}, order_status::done);
+    const auto count_to = [&](const auto& orders, std::string_view target) {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(orders, [&](const auto& order) { return order.target.id == target; }));
+    };
+    const auto ranges_each = site.log.find("ledger")->ranges().size() / 2;
+    REQUIRE(ranges_each > 2 * max_grants_per_target);
+    CHECK(count_to(site.grants, "t1") == max_grants_per_target);
+    CHECK(count_to(site.grants, "t2") == ranges_each);
+    CHECK(site.manager.waiting_orders() == ranges_each - max_grants_per_target);
+    // Releases do not wait for the grants, nor grants for releases.
+    site.leaving = {"t2@0"};
+    site.unanswered = {"t1", "t2"};
+    site.step(milliseconds{100}, order_status::done);
+    site.step(milliseconds{100}, order_status::done);
+    CHECK(count_to(site.releases, "t2") == max_releases_per_target);
+    // Each completion lets the next order through at once.
+    site.unanswered = {"t2"};
+    const auto first = site.grants.front().id;
+    site.manager.on_order_completed(site.now, first, order_status::done, {});
+    const auto next = site.manager.follow_up_orders(site.now);
+    REQUIRE(next.size() == 1);
+    CHECK(std::get<grant_order>(next.front()).target.id == "t1");
+    CHECK(site.manager.follow_up_orders(site.now).empty());
+}
+
+// Guards against renewals that are sent in the order of the keys, so that those that lapse first wait
+// longest.
+TEST_CASE("grants that lapse first are renewed first, and not all in the same tick")
+{
+    single_coordinator site(1);
+    std::map<key_number, time_point> granted_at;
+    std::size_t most = 0;
+    const auto step = [&](milliseconds elapsed) {
+        const auto before = site.grants.size();
+        site.step(elapsed, order_status::done);
+        return std::span{site.grants}.subspan(before);
+    };
+    for (int count = 0; count < 100; ++count) {
+        const auto sent = step(milliseconds{100});
+        for (const auto& grant : sent)
+            granted_at[grant.keys.first] = site.now;
+        most = count < 50 ? 0 : std::max(most, sent.size());
+    }
+    CHECK(most <= granted_at.size() / 2);
+    site.unanswered = {"t1"};
+    const auto sent = step(milliseconds{3000});
+    REQUIRE(sent.size() == max_grants_per_target);
+    time_point latest{};
+    for (const auto& grant : sent) {
+        latest = std::max(latest, granted_at.at(grant.keys.first));
+        granted_at.erase(grant.keys.first);
+    }
+    CHECK(std::ranges::all_of(granted_at, [&](const auto& waiting) { return waiting.second >= latest; }));
+}
+
+// Guards against dozens of connections in the same moment to a host that refuses them, and against keys that
+// stay with a target that fails because only few of its grants are tried.
+TEST_CASE("a target that refuses orders gets one for each tick, and all of its keys are moved")
+{
+    single_coordinator site(2);
+    for (int step = 0; step < 30; ++step)
+        site.step(milliseconds{100}, order_status::done);
+    site.refusing = {"t1"};
+    int steps_with_several = 0;
+    for (int step = 0; step < 90; ++step) {
+        const auto before = site.grants.size();
+        site.step(milliseconds{100}, order_status::done);
+        const auto sent = std::ranges::count(std::span{site.grants}.subspan(before), "t1",
+                                             [](const grant_order& grant) { return grant.target.id; });
+        CHECK(static_cast<std::size_t>(sent) <= max_grants_per_target);
+        steps_with_several += sent > 1 ? 1 : 0;
+    }
+    CHECK(steps_with_several <= 1);
+    CHECK(std::ranges::none_of(site.log.find("ledger")->ranges(),
+                               [](const owned_range& range) { return range.owner.id == "t1"; }));
+}
+
 // Guards against keys that are given again and again to a registration at whose address another process
 // responds: with the keys that are taken back, the coordinator forgets why.
 TEST_CASE("a target at whose address another process responds gets no keys until it responds itself")
--- a/tests/support/ownership_simulation.cpp
+++ b/tests/support/ownership_simulation.cpp
@@ -450,8 +450,13 @@
 void ownership_simulation::complete_order(simulated_instance& to, std::uint64_t session, std::uint64_t order,
                                           order_status status, std::string handover)
 {
-    if (to.manager && to.session == session)
-        to.manager->on_order_completed(now_, order, status, std::move(handover));
+    if (!to.manager || to.session != session)
+        return;
+    to.manager->on_order_completed(now_, order, status, std::move(handover));
+    if (now_ < to.paused_until)
+        return;
+    for (auto& action : to.manager->follow_up_orders(now_))
+        execute(to, std::move(action));
 }
 
 order_status ownership_simulation::apply_grant(const grant_order& order, time_point arrival)
