--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -211,6 +211,23 @@
     CHECK(read.limits.idle_timeout == milliseconds{15'000});
 }
 
+// Guards against downloads that are not retried although they change nothing, and against unknown kinds that
+// are.
+TEST_CASE("only routes of the kinds safe and download are idempotent")
+{
+    for (const auto& [kind, semantics] : {std::pair{"download", execution_semantics::idempotent},
+                                          {"safe", execution_semantics::idempotent},
+                                          {"upload", execution_semantics::at_most_once},
+                                          {"downloads", execution_semantics::at_most_once},
+                                          {"", execution_semantics::at_most_once}}) {
+        CAPTURE(std::string{kind});
+        const auto decoded = decode_configuration(
+            replace_text(valid_configuration, R"("safe")", "\"" + std::string{kind} + "\""));
+        REQUIRE(failure(decoded) == nullptr);
+        CHECK(std::get<routing_configuration>(decoded).routes[0].semantics == semantics);
+    }
+}
+
 // Guards against a lag behind quick changes of thousands of routes, each of which cost the whole table
 // (CONFIG).
 TEST_CASE("a decoder of versions parses changed rows only, and returns the same as for a first version")
