Read the fourth figure of the load header, the duration of work

A load header with a fourth figure was dropped as malformed, so no load was known of targets that send one, and requests went to machines that were three times slower at that moment. The figure is parsed (100 percent if it is missing; a further figure, zero or garbage make the header malformed). It multiplies the expected latency of a request and decays with a time constant of 100 ms, as it changes many times a second. The measured service time of an answer is divided by it. Both are relative to the moving average of the figures of the target, so that the service time is that of the average duration and a machine that always reports the same figure is expected at its measured times. Without the figure nothing changes.

--- a/include/teaseltally/admission/target_load.hpp
+++ b/include/teaseltally/admission/target_load.hpp
@@ -18,11 +18,15 @@
     unsigned waiting = 0;
     /// Number of requests that the target executes concurrently; at least 1.
     unsigned slots = 1;
+    /// How long work takes at present, in percent of the usual time; at least 1.
+    unsigned duration_percent = 100;
     bool operator==(const reported_load&) const = default;
 };
 
-/// Parses the value of the load header, "RUNNING,WAITING,SLOTS" in decimal.
-/// @returns the reported load, or nothing if the text is malformed or the number of slots is zero.
+/// Parses the value of the load header, "RUNNING,WAITING,SLOTS" or "RUNNING,WAITING,SLOTS,DURATION" in
+/// decimal.
+/// @returns the reported load, or nothing if the text is malformed or the number of slots or the duration is
+/// zero.
 [[nodiscard]] std::optional<reported_load> parse_reported_load(std::string_view text) noexcept;
 
 /// Estimates load, service time and health of one target from its responses and from the requests of this
@@ -100,6 +104,8 @@
 
 private:
     void set_external_occupancy(time_point now, double requests) noexcept;
+    /// Returns how long work is expected to take, relative to its average.
+    [[nodiscard]] double relative_duration(time_point now) const noexcept;
 
     unsigned slots_;
     double service_us_;
@@ -111,6 +117,10 @@
     /// Time constant of the decay of `external_occupancy_`, in microseconds.
     double report_decay_us_ = 1;
     time_point reported_at_{};
+    /// Duration of work according to the last report, and the moving average of the reports; 1 is usual.
+    double duration_ = 1;
+    double average_duration_ = 1;
+    time_point duration_at_{};
     /// Time of the last response or refusal, or of the first request after the target was idle.
     time_point last_progress_at_{};
     time_point cold_until_{};
--- a/src/admission/target_load.cpp
+++ b/src/admission/target_load.cpp
@@ -34,15 +34,21 @@
 /// its latency without refusals.
 constexpr double refusal_penalty = 4.0;
 constexpr unsigned max_backoff_doublings = 5;
+/// Time constant of the exponential decay of a reported duration of work, which changes many times a second.
+constexpr double duration_decay_us = 100'000;
+/// Weight of one report in the average duration.
+constexpr double duration_weight = 0.05;
+constexpr double percent = 100;
 
 } // namespace
 
 std::optional<reported_load> parse_reported_load(std::string_view text) noexcept
 {
-    std::array<unsigned, 3> values{};
+    constexpr std::size_t required = 3;
+    std::array<unsigned, required + 1> values{0, 0, 0, reported_load{}.duration_percent};
     const char* position = text.data();
     const char* const end = position + text.size();
-    for (std::size_t index = 0; index < values.size(); ++index) {
+    for (std::size_t index = 0; index < values.size() && (index < required || position != end); ++index) {
         if (index > 0 && (position == end || *position++ != ','))
             return std::nullopt;
         const auto [parsed_end, code] = std::from_chars(position, end, values[index]);
@@ -50,9 +56,9 @@
             return std::nullopt;
         position = parsed_end;
     }
-    if (position != end || values[2] == 0)
+    if (position != end || values[2] == 0 || values[3] == 0)
         return std::nullopt;
-    return reported_load{values[0], values[1], values[2]};
+    return reported_load{values[0], values[1], values[2], values[3]};
 }
 
 void target_load::on_request_sent(time_point now) noexcept
@@ -77,6 +83,7 @@
     double sample = static_cast<double>(latency.count()) / queueing;
     if (now < cold_until_)
         sample /= cold_factor;
+    sample /= relative_duration(now);
     const bool queued = occupancy_at_start > slots_;
     ++response_count_;
     const double weight = std::max(queued ? queued_sample_weight : sample_weight, 1.0 / response_count_);
@@ -109,6 +116,15 @@
     // The target no longer counts the request whose response carries the report.
     slots_ = report.slots;
     set_external_occupancy(now, total - std::max(0.0, static_cast<double>(in_flight_) - 1));
+    duration_ = report.duration_percent / percent;
+    duration_at_ = now;
+    average_duration_ += (duration_ - average_duration_) * duration_weight;
+}
+
+double target_load::relative_duration(time_point now) const noexcept
+{
+    const auto age = static_cast<double>((now - duration_at_).count());
+    return 1 + (duration_ / average_duration_ - 1) * std::exp(-age / duration_decay_us);
 }
 
 void target_load::set_external_occupancy(time_point now, double requests) noexcept
@@ -127,7 +143,8 @@
 microseconds target_load::queueing_latency(time_point now) const noexcept
 {
     const double queueing = std::max(1.0, (occupancy(now) + 1) / slots_);
-    const double expected = service_us_ * queueing * (now < cold_until_ ? cold_factor : 1);
+    const double expected =
+        service_us_ * queueing * relative_duration(now) * (now < cold_until_ ? cold_factor : 1);
     return microseconds{static_cast<std::int64_t>(expected)};
 }
 
--- a/tests/knowledge_tests.cpp
+++ b/tests/knowledge_tests.cpp
@@ -65,10 +65,43 @@
 TEST_CASE("malformed load reports are rejected")
 {
     CHECK(parse_reported_load("3,0,8") == reported_load{3, 0, 8});
-    for (const char* bad : {"", "3", "3,0", "3,0,", "3,0,8,", "-1,0,8", "3,0,0", "a,b,c", "3, 0,8"})
+    CHECK(parse_reported_load("3,0,8,100") == reported_load{3, 0, 8});
+    CHECK(parse_reported_load("3,0,8,320") == reported_load{3, 0, 8, 320});
+    for (const char* bad : {"", "3", "3,0", "3,0,", "3,0,8,", "-1,0,8", "3,0,0", "a,b,c", "3, 0,8", "3,0,8,0",
+                            "3,0,8,x", "3,0,8,-1", "3,0,8,1.5", "3,0,8,100,", "3,0,8,100,1"})
         CHECK(!parse_reported_load(bad));
 }
 
+// Guards against requests to a machine that is three times slower for a moment, whose targets looked idle,
+// and against its answers making the target look slow after that moment.
+TEST_CASE("the reported duration of work counts for a moment, and not in the service time")
+{
+    target_load load(2, milliseconds{110});
+    target_load other(2, milliseconds{110});
+    time_point now{std::chrono::hours{1}};
+    const auto answer = [&](target_load& answering, milliseconds latency, unsigned percent) {
+        answering.on_request_sent(now);
+        now += latency;
+        answering.on_load_report(now, {0, 0, 2, percent});
+        answering.on_request_ended();
+        return answering.on_response(now, latency, 1);
+    };
+    for (int request = 0; request < 40; ++request) {
+        answer(load, milliseconds{110}, 100);
+        answer(other, milliseconds{110}, 100);
+    }
+    const auto slow = answer(load, milliseconds{330}, 300);
+    CHECK(slow < milliseconds{140});
+    CHECK(load.service_time() < milliseconds{120});
+    CHECK(load.expected_latency(now) > 2 * other.expected_latency(now));
+    CHECK(load.expected_latency(now + milliseconds{500}) < milliseconds{125});
+    // What a machine always reports is usual there.
+    for (int request = 0; request < 200; ++request)
+        answer(load, milliseconds{330}, 300);
+    CHECK(load.service_time() > milliseconds{300});
+    CHECK(load.expected_latency(now) < milliseconds{360});
+}
+
 // Guards against instances that each fill the owner of a hot key with requests before the first response says
 // how many the others have sent: hundreds arrived at a target that takes 30, and those that it never answered
 // were waited for until their deadlines.
