Evacuate data centres on a record of the operator

With the bound evacuation, targets of the data centre get no first sends, retries, hedged or relayed attempts, trials or waiting requests while the record exists, and the coordinator moves their keys in one record unless no other target of the service remains. The state is checked again before a request is written. Without the bound nothing changes.

In the unit test, all keys of 35 of 138 targets move within 0.2 s.

--- a/include/teaseltally/knowledge/record_stream.hpp
+++ b/include/teaseltally/knowledge/record_stream.hpp
@@ -94,6 +94,8 @@
 
     /// Returns the latest record of a key, or null if it has none.
     [[nodiscard]] const stream_record* find(std::string_view key) const;
+    /// Returns the rests of the keys that begin with a prefix and have a record, in order.
+    [[nodiscard]] std::vector<std::string> suffixes_of_keys(std::string_view prefix) const;
     /// Returns whether a snapshot has replaced one of an older era.
     [[nodiscard]] bool era_changed() const noexcept { return era_changed_; }
     /// Returns whether a record at a position would be new: it is of the era of the last snapshot and has not
--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -242,6 +242,9 @@
     {
         return leaving_targets_;
     }
+    /// Sets the data centres that are being evacuated. Their targets get no requests, but for those that own
+    /// keys which have not moved yet.
+    void set_evacuations(std::map<std::string, evacuation, std::less<>> evacuations);
     /// Records that another process than a target responds at its address. Ignored if the incarnation is not
     /// registered.
     void record_other_process(const std::string& incarnation);
@@ -451,6 +454,8 @@
     target_statement_table statements_;
     std::set<std::string, std::less<>> leaving_targets_;
     std::set<std::string, std::less<>> unconfirmed_targets_;
+    /// Evacuations by data centre.
+    std::map<std::string, evacuation, std::less<>> evacuations_;
     std::map<std::string, std::shared_ptr<target_node>, std::less<>> targets_;
     std::map<std::string, service_state, std::less<>> services_;
     const ownership_log* ownership_ = nullptr;
--- a/include/teaseltally/net/target_node.hpp
+++ b/include/teaseltally/net/target_node.hpp
@@ -60,6 +60,14 @@
     std::size_t bytes_ = 0;
 };
 
+/// Evacuation of a data centre, whose targets get no more requests until it ends.
+struct evacuation {
+    /// Time when it became known.
+    time_point since{};
+    /// Time until which requests may still reach the owners of keys that have not moved yet.
+    time_point owners_until{};
+};
+
 /// Target as known to one instance: its registration, its load and its connections. Not thread-safe.
 class target_node {
 public:
@@ -93,16 +101,33 @@
     }
     /// Returns whether the target is leaving, so that it gets no new requests.
     [[nodiscard]] bool is_leaving() const noexcept { return leaving_since().has_value(); }
-    /// Returns the time since which the target must get no new requests, because it is leaving or another
-    /// process responds at its address; nothing if it may get some.
-    [[nodiscard]] std::optional<time_point> unusable_since() const noexcept
+    /// Sets the evacuation of the target's data centre; nothing ends it.
+    void set_evacuation(const std::optional<evacuation>& evacuated) noexcept { evacuation_ = evacuated; }
+    /// Returns whether the target's data centre is being evacuated.
+    [[nodiscard]] bool is_evacuated() const noexcept { return evacuation_.has_value(); }
+    /// Returns the time since which the target must get no new requests, also as the only one that can
+    /// execute them, because it is leaving, another process responds at its address or the time to evacuate
+    /// it is over; nothing if it may get some.
+    [[nodiscard]] std::optional<time_point> unusable_since(time_point now) const noexcept
+    {
+        std::optional<time_point> first;
+        const auto include = [&](const std::optional<time_point>& since) {
+            if (since)
+                first = std::min(first.value_or(*since), *since);
+        };
+        include(leaving_since());
+        include(statements_->unconfirmed_since());
+        if (evacuation_ && now >= evacuation_->owners_until)
+            include(std::max(evacuation_->since, evacuation_->owners_until));
+        return first;
+    }
+    /// Returns whether the target may get new requests for keys that it owns.
+    [[nodiscard]] bool is_usable_owner(time_point now) const noexcept { return !unusable_since(now); }
+    /// Returns whether the target may get new requests that others can execute too.
+    [[nodiscard]] bool is_usable() const noexcept
     {
-        const auto leaving = leaving_since();
-        const auto& unconfirmed = statements_->unconfirmed_since();
-        return leaving && unconfirmed ? std::min(leaving, unconfirmed) : (leaving ? leaving : unconfirmed);
+        return !is_leaving() && !statements_->unconfirmed_since() && !is_evacuated();
     }
-    /// Returns whether the target may get new requests.
-    [[nodiscard]] bool is_usable() const noexcept { return !unusable_since(); }
     /// Returns the name of the target incarnation that is registered.
     [[nodiscard]] const std::string& incarnation() const noexcept { return incarnation_; }
     /// Returns the address and port of the target.
@@ -152,6 +177,7 @@
     owner_queue queue_;
     /// Time since which the registration says that the target is leaving, if it says so.
     std::optional<time_point> draining_since_;
+    std::optional<evacuation> evacuation_;
     std::shared_ptr<target_statements> statements_;
     std::vector<std::unique_ptr<target_connection>> idle_connections_;
     unsigned open_connections_ = 0;
@@ -198,7 +224,7 @@
     /// Whether a reused connection failed before a byte of the response was received.
     bool stale_connection = false;
     /// Whether the request was not sent because the target asked for rest, or became known to be leaving or
-    /// not to respond at its address, while a connection was established.
+    /// not to respond at its address, or was evacuated, while a connection was established.
     bool held_back = false;
     /// What the target said about itself in its response.
     target_statement statement;
--- a/include/teaseltally/ownership/range_manager.hpp
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -123,14 +123,17 @@
     std::optional<time_point> directory_read_sent_at = std::nullopt;
     /// Incarnations of targets at whose addresses other processes respond; null if none are known.
     const std::set<std::string, std::less<>>* unconfirmed = nullptr;
+    /// Data centres whose targets must get no requests; null if there are none.
+    const std::set<std::string, std::less<>>* evacuated = nullptr;
 
-    /// Returns whether a target must not own keys, because it is leaving or another process responds at its
-    /// address.
+    /// Returns whether a target must not own keys, because it is leaving, another process responds at its
+    /// address, or its data centre is evacuated.
     [[nodiscard]] bool must_not_own(const target_entry& entry) const
     {
         const auto incarnation = incarnation_name(entry.id, entry.start_unix_ms);
         return entry.draining || (leaving != nullptr && leaving->contains(incarnation)) ||
-               (unconfirmed != nullptr && unconfirmed->contains(incarnation));
+               (unconfirmed != nullptr && unconfirmed->contains(incarnation)) ||
+               (evacuated != nullptr && evacuated->contains(entry.data_centre));
     }
 };
 
--- a/src/knowledge/record_stream.cpp
+++ b/src/knowledge/record_stream.cpp
@@ -17,6 +17,15 @@
     return found == latest_records_.end() ? nullptr : &found->second;
 }
 
+std::vector<std::string> record_stream::suffixes_of_keys(std::string_view prefix) const
+{
+    std::vector<std::string> suffixes;
+    for (auto record = latest_records_.lower_bound(prefix);
+         record != latest_records_.end() && record->first.starts_with(prefix); ++record)
+        suffixes.push_back(record->first.substr(prefix.size()));
+    return suffixes;
+}
+
 snapshot_effect record_stream::apply_snapshot(const std::vector<stream_record>& records, log_position next,
                                               const snapshot_precedence& known)
 {
--- a/src/net/request_choice.cpp
+++ b/src/net/request_choice.cpp
@@ -40,7 +40,7 @@
 std::shared_ptr<target_node> request_router::owner_of(const routed_request& request, bool granted) const
 {
     auto owner = recorded_owner_of(request, granted);
-    return owner && owner->is_usable() ? owner : nullptr;
+    return owner && owner->is_usable_owner(boot_clock::now()) ? owner : nullptr;
 }
 
 std::shared_ptr<target_node> request_router::recorded_owner_of(const routed_request& request,
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -176,6 +176,8 @@
         executor_, entry, std::get<tcp_endpoint>(address),
         state.targets.empty() ? initial_service_time : state.service_time, std::move(statements));
     targets_.emplace(entry.id, node);
+    if (const auto evacuated = evacuations_.find(entry.data_centre); evacuated != evacuations_.end())
+        node->set_evacuation(evacuated->second);
     // Only one of two registrations at an address can be right.
     if (shares_address)
         static_cast<void>(node->statements().mark_unconfirmed(entry.address, now, now));
@@ -203,6 +205,18 @@
     targets_.erase(found);
 }
 
+void request_router::set_evacuations(std::map<std::string, evacuation, std::less<>> evacuations)
+{
+    evacuations_ = std::move(evacuations);
+    for (auto& [id, node] : targets_) {
+        const auto found = evacuations_.find(node->entry().data_centre);
+        node->set_evacuation(found == evacuations_.end() ? std::nullopt : std::optional{found->second});
+    }
+    for (auto& [name, state] : services_)
+        for (auto* request : state.waiting)
+            request->wake.notify();
+}
+
 void request_router::on_ownership_changed()
 {
     for (auto& [name, state] : services_)
--- a/src/net/request_statements.cpp
+++ b/src/net/request_statements.cpp
@@ -18,6 +18,8 @@
 /// Time after which a caller may return if other processes respond at the addresses of all targets. It is
 /// that of the first check who responds there.
 constexpr milliseconds confirmation_retry_time{500};
+/// Time after which a caller may return if all targets are evacuated. Evacuations last for seconds at least.
+constexpr milliseconds evacuation_retry_time{1000};
 constexpr std::string_view other_process_cause = "another process responds at the address of the target";
 
 } // namespace
@@ -145,11 +147,17 @@
                                                                       const service_state& state) const
 {
     const auto now = boot_clock::now();
+    const hold_back evacuated{evacuation_retry_time, evacuation_retry_time,
+                              "the data centres of the targets are evacuated"};
     if (request.key) {
         if (const auto owner = owner_of(request))
             return hold_back_of(*owner, now);
         // While a range moves, a request waits for its new owner only if it can be sent there afterwards.
         const auto new_owner = owner_of(request, false);
+        const bool has_usable = std::ranges::any_of(state.targets, &target_node::is_usable);
+        if (!new_owner && !has_usable && !recorded_owner_of(request, false) &&
+            std::ranges::any_of(state.targets, &target_node::is_evacuated))
+            return evacuated;
         if (!new_owner)
             return hold_back_of_move(request, now);
         if (const auto held = hold_back_of(*new_owner, now))
@@ -162,6 +170,10 @@
     for (const auto& target : state.targets) {
         if (target->is_leaving())
             continue;
+        if (target->is_evacuated()) {
+            first = first.value_or(evacuated);
+            continue;
+        }
         const auto held = hold_back_of(*target, now);
         if (!held)
             return std::nullopt;
@@ -175,10 +187,14 @@
                                                                            time_point now) const
 {
     const auto owner = recorded_owner_of(request, false);
-    if (!owner || now - *owner->unusable_since() < max_handover_time)
+    const auto unusable_since = owner ? owner->unusable_since(now) : std::nullopt;
+    if (!unusable_since || now - *unusable_since < max_handover_time)
         return std::nullopt;
-    return hold_back{key_move_retry_time, key_move_retry_time,
-                     owner->is_leaving() ? "the owner of the key is leaving" : other_process_cause};
+    const std::string_view cause = owner->is_leaving() ? "the owner of the key is leaving"
+                                   : owner->is_evacuated()
+                                       ? "the data centre of the owner of the key is evacuated"
+                                       : other_process_cause;
+    return hold_back{key_move_retry_time, key_move_retry_time, cause};
 }
 
 http_response request_router::make_hold_back_response(routed_request& request, const hold_back& held)
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -294,10 +294,12 @@
         node->record_connection(true, boot_clock::now());
     }
     result.connected = true;
-    if (const auto now = boot_clock::now(); !node->is_usable() || node->statements().is_resting(now)) {
+    if (const auto now = boot_clock::now();
+        !node->is_usable_owner(now) || node->statements().is_resting(now)) {
         result.status = exchange_status::not_executed;
         result.held_back = true;
-        result.reason = "the target has asked for rest, is leaving or does not respond at its address";
+        result.reason =
+            "the target has asked for rest, is leaving, is evacuated or does not respond at its address";
         stream.expires_never();
         connection->expires_at = now + default_idle_timeout;
         node->release(std::move(connection));
--- a/tests/knowledge_tests.cpp
+++ b/tests/knowledge_tests.cpp
@@ -188,6 +188,21 @@
     CHECK_FALSE(hot.is_overloaded(now, limit, patience));
 }
 
+// Guards against an evacuation that does not end because a snapshot lacks its record.
+TEST_CASE("the keys with a prefix are those with a record in the latest state of a stream")
+{
+    record_stream stream;
+    stream.apply_snapshot({{"config", "1", {1, 0}}, {"evacuate/b", "", {1, 1}}, {"evacuated", "", {1, 2}}},
+                          {1, 3});
+    CHECK(stream.suffixes_of_keys("evacuate/") == std::vector<std::string>{"b"});
+    stream.apply({"evacuate/a", "x", {1, 3}}, true);
+    CHECK(stream.suffixes_of_keys("evacuate/") == std::vector<std::string>{"a", "b"});
+    stream.apply({"evacuate/b", std::nullopt, {1, 4}}, true);
+    CHECK(stream.suffixes_of_keys("evacuate/") == std::vector<std::string>{"a"});
+    stream.apply_snapshot({{"config", "1", {1, 0}}}, {1, 9});
+    CHECK(stream.suffixes_of_keys("evacuate/").empty());
+}
+
 // If stalled targets were usable, a target that accepts requests but never responds would keep receiving
 // them.
 TEST_CASE("a stalled target is not usable until it responds")
--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -37,18 +37,27 @@
     {
         add_targets(1, targets);
     }
-    void add_targets(unsigned first, unsigned last)
+    void add_targets(unsigned first, unsigned last, const std::string& data_centre = "a")
     {
         for (unsigned index = first; index <= last; ++index)
-            directory.update({"t" + std::to_string(index), "ledger", "10.0.0.1:80", "a", 4, false, {}, 0, 1},
-                             {0, 1});
+            directory.update(
+                {"t" + std::to_string(index), "ledger", "10.0.0.1:80", data_centre, 4, false, {}, 0, 1},
+                {0, 1});
+    }
+    /// Returns the number of keys that the log assigns to the targets of a data centre.
+    [[nodiscard]] std::size_t keys_in(const std::string& data_centre) const
+    {
+        std::size_t keys = 0;
+        for (const auto& range : log.find("ledger")->ranges())
+            keys += directory.find(range.owner.id)->data_centre == data_centre ? range.keys.size() : 0;
+        return keys;
     }
 
     void step(milliseconds elapsed, order_status status)
     {
         now += elapsed;
         for (auto& action : manager.tick(now, {log, directory, keyed, last_read.value_or(now), true, nullptr,
-                                               &leaving, std::nullopt, &unconfirmed})) {
+                                               &leaving, std::nullopt, &unconfirmed, &evacuated})) {
             if (const auto* append = std::get_if<append_order>(&action)) {
                 if (append_outcome == append_status::done)
                     for (const auto& record : append->records)
@@ -86,6 +95,7 @@
     std::vector<std::string> keyed{"ledger"};
     std::set<std::string, std::less<>> leaving;
     std::set<std::string, std::less<>> unconfirmed;
+    std::set<std::string, std::less<>> evacuated;
     /// Ids of targets at whose addresses other processes respond to grants.
     std::set<std::string, std::less<>> replaced;
     std::vector<grant_order> grants;
@@ -197,6 +207,33 @@
     CHECK(owns("t3"));
 }
 
+// Guards against evacuated targets that keep their keys, or get them back at once when the evacuation ends.
+TEST_CASE("all keys of an evacuated data centre move at once, and stay if no other target remains")
+{
+    single_coordinator coordinator(35);
+    coordinator.add_targets(36, 70, "b");
+    coordinator.add_targets(71, 138, "c");
+    const auto run_steps = [&](int steps) {
+        for (int step = 0; step < steps; ++step)
+            coordinator.step(milliseconds{100}, order_status::done);
+    };
+    run_steps(50);
+    const auto before = coordinator.keys_in("b");
+    REQUIRE(before > 10'000);
+    coordinator.evacuated = {"b"};
+    run_steps(2);
+    CHECK(coordinator.keys_in("b") == 0);
+    run_steps(20);
+    for (const auto& range : coordinator.log.find("ledger")->ranges())
+        CHECK(range.former_owners.empty());
+    coordinator.evacuated.clear();
+    run_steps(10);
+    CHECK(coordinator.keys_in("b") == 0);
+    coordinator.evacuated = {"a", "b", "c"};
+    run_steps(50);
+    CHECK(coordinator.keys_in("a") + coordinator.keys_in("c") == 65'536);
+}
+
 // Guards against keys that are given again and again to a registration at whose address another process
 // responds: with the keys that are taken back, the coordinator forgets why.
 TEST_CASE("a target at whose address another process responds gets no keys until it responds itself")
--- a/tests/target_exchange_tests.cpp
+++ b/tests/target_exchange_tests.cpp
@@ -295,9 +295,11 @@
 }
 
 // Guards against requests that were being connected when their target asked for rest or left.
-TEST_CASE("a request is not written to a target that asked for rest, or left, while it was connected")
+TEST_CASE("a request is not written to a target that asked for rest, left or was evacuated in the meantime")
 {
-    for (const bool leaving : {false, true}) {
+    for (const std::string change : {"rest", "leaving", "evacuated"}) {
+        CAPTURE(change);
+        const bool leaving = change == "leaving";
         asio::io_context io(1);
         scripted_target target(io);
         auto node = std::make_shared<target_node>(io.get_executor(), target_entry{}, target.local_endpoint(),
@@ -311,8 +313,10 @@
             auto connection = node->acquire(boot_clock::now(), 4);
             target_statement statement;
             statement.leaving = leaving;
-            statement.rest = leaving ? milliseconds{0} : milliseconds{5000};
+            statement.rest = change == "rest" ? milliseconds{5000} : milliseconds{0};
             node->statements().apply(statement, boot_clock::now(), boot_clock::now());
+            if (change == "evacuated")
+                node->set_evacuation(evacuation{boot_clock::now(), boot_clock::now()});
             result = co_await exchange_with_target(node, request, headers, std::move(connection),
                                                    hang_deadline(), memory);
         });
