Hold requests back whose owner has no grant for their keys

While a data centre is cut off, its keys move to other targets, which get their grants only when those of the former owners have expired.

The record of a move says how long the grants of a former owner last. Until then the new owner gets nothing: a request that can wait that long waits, another one is refused at once with that time.

--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -9,6 +9,7 @@
 #include <teaseltally/net/request_relay.hpp>
 #include <teaseltally/net/target_node.hpp>
 #include <teaseltally/ownership/assignment.hpp>
+#include <teaseltally/ownership/range_refusals.hpp>
 #include <teaseltally/routing/route_table.hpp>
 
 #include <boost/asio/cancellation_signal.hpp>
@@ -48,6 +49,8 @@
     boost::beast::tcp_stream* stream = nullptr;
     /// Number of the connection among those of the target.
     std::uint64_t connection = 0;
+    /// Assignment by which the target owns the key of the request; nothing for services without keys.
+    std::optional<range_assignment> range;
     /// Time when the attempt started.
     time_point started{};
     /// Estimated number of requests at the target when the attempt started, including itself.
@@ -318,6 +321,10 @@
     /// is not registered.
     [[nodiscard]] std::shared_ptr<target_node> recorded_owner_of(const routed_request& request,
                                                                  bool granted) const;
+    /// Returns the range of the key of a request; null if there is none.
+    [[nodiscard]] const owned_range* range_of(const routed_request& request) const;
+    /// Returns whether the owner of a range is taken to have the grant for it.
+    [[nodiscard]] bool is_granted(const std::string& service, const owned_range& range, time_point now) const;
     [[nodiscard]] bool may_send_to_owner(const routed_request& request, const target_node& owner) const;
     [[nodiscard]] bool has_capacity(target_node& node, bool keyed) const;
     /// Returns whether a request is to be passed to another instance instead of being sent to a target.
@@ -364,6 +371,10 @@
         microseconds spread{0};
         std::string_view cause;
     };
+    /// Returns what keeps a request from being sent because the owner of its key has no grant yet and will
+    /// not get it in time.
+    [[nodiscard]] std::optional<hold_back>
+    hold_back_of_grant(const routed_request& request, const service_state& state, time_point now) const;
     /// Returns what keeps a request from being sent while its owner is leaving and its key has not moved.
     [[nodiscard]] std::optional<hold_back> hold_back_of_move(const routed_request& request,
                                                              time_point now) const;
@@ -459,6 +470,7 @@
     std::map<std::string, std::shared_ptr<target_node>, std::less<>> targets_;
     std::map<std::string, service_state, std::less<>> services_;
     const ownership_log* ownership_ = nullptr;
+    range_refusals range_refusals_;
     crash_quarantine* quarantine_ = nullptr;
     trial_claim claim_trial_;
     /// Incarnations of targets that are being probed.
--- a/include/teaseltally/teaseltally.hpp
+++ b/include/teaseltally/teaseltally.hpp
@@ -51,6 +51,7 @@
 #include <teaseltally/ownership/balancer.hpp>
 #include <teaseltally/ownership/order_status.hpp>
 #include <teaseltally/ownership/range_manager.hpp>
+#include <teaseltally/ownership/range_refusals.hpp>
 #include <teaseltally/ownership/target_speed.hpp>
 
 #include <teaseltally/knowledge/traffic_report.hpp>
--- a/src/net/request_attempts.cpp
+++ b/src/net/request_attempts.cpp
@@ -90,6 +90,10 @@
     attempt->stream = &connection->stream;
     attempt->connection = connection->number;
     attempt->started = now;
+    if (const auto* range = request->key ? range_of(*request) : nullptr) {
+        attempt->range = range_assignment{request->service, range->keys.first, range->fence};
+        range_refusals_.on_sent(*attempt->range, now);
+    }
     auto& load = attempt->target->load();
     attempt->occupancy = load.occupancy(now) + 1;
     load.on_request_sent(now);
@@ -143,6 +147,12 @@
         record_contact();
     if (result.statement.load)
         load.on_load_report(now, *result.statement.load);
+    if (attempt.range && result.connected && !result.held_back) {
+        if (result.status == exchange_status::misdirected)
+            range_refusals_.on_refused(*attempt.range, attempt.started, now);
+        else if (result.status != exchange_status::outcome_unknown)
+            range_refusals_.on_accepted(*attempt.range);
+    }
     if (!state.waiting.empty()) {
         const auto interval =
             std::min(static_cast<double>((now - state.last_attempt_ended_at).count()), us_per_s);
--- a/src/net/request_choice.cpp
+++ b/src/net/request_choice.cpp
@@ -43,16 +43,29 @@
     return owner && owner->is_usable_owner(boot_clock::now()) ? owner : nullptr;
 }
 
-std::shared_ptr<target_node> request_router::recorded_owner_of(const routed_request& request,
-                                                               bool granted) const
+const owned_range* request_router::range_of(const routed_request& request) const
 {
     const auto* owners = ownership_ == nullptr ? nullptr : ownership_->find(request.service);
-    const auto* range = owners == nullptr ? nullptr : owners->find(*request.key);
+    return owners == nullptr ? nullptr : owners->find(*request.key);
+}
+
+bool request_router::is_granted(const std::string& service, const owned_range& range, time_point now) const
+{
+    if (!range_refusals_.may_send({service, range.keys.first, range.fence}, now))
+        return false;
     // A range that lists former owners has not been granted to its new owner yet.
-    if (range == nullptr ||
-        (granted && !range->former_owners.empty() &&
-         boot_clock::now() - ownership_->latest_reassignment_time(*range, range->former_owners.back()) <
-             max_grant_delay))
+    if (range.former_owners.empty())
+        return true;
+    if (const auto expired_at = former_grants_end(*ownership_, range))
+        return now >= *expired_at;
+    return now - ownership_->latest_reassignment_time(range, range.former_owners.back()) >= max_grant_delay;
+}
+
+std::shared_ptr<target_node> request_router::recorded_owner_of(const routed_request& request,
+                                                               bool granted) const
+{
+    const auto* range = range_of(request);
+    if (range == nullptr || (granted && !is_granted(request.service, *range, boot_clock::now())))
         return nullptr;
     const auto found = targets_.find(range->owner.id);
     if (found == targets_.end() || found->second->entry().service != request.service)
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -269,6 +269,7 @@
     for (auto& [id, node] : targets_)
         node->close_idle(now, false);
     statements_.remove_expired(now);
+    range_refusals_.remove_expired(now);
     std::erase_if(relay_backoffs_, [&](const auto& backoff) { return backoff.second <= now; });
 }
 
--- a/src/net/request_statements.cpp
+++ b/src/net/request_statements.cpp
@@ -160,6 +160,8 @@
             return evacuated;
         if (!new_owner)
             return hold_back_of_move(request, now);
+        if (const auto held = hold_back_of_grant(request, state, now))
+            return held;
         if (const auto held = hold_back_of(*new_owner, now))
             return held;
         if (permits_ == nullptr || permits_->has_permit(new_owner->incarnation(), now))
@@ -183,6 +185,25 @@
     return first;
 }
 
+std::optional<request_router::hold_back> request_router::hold_back_of_grant(const routed_request& request,
+                                                                            const service_state& state,
+                                                                            time_point now) const
+{
+    const auto* range = range_of(request);
+    if (range == nullptr)
+        return std::nullopt;
+    if (const auto expired_at = former_grants_end(*ownership_, *range);
+        expired_at && *expired_at > now && *expired_at + state.service_time / 2 > request.deadline)
+        return hold_back{*expired_at - now, key_move_retry_time,
+                         "the former owner of the key may hold it for longer than the deadline"};
+    const auto refused_since =
+        range_refusals_.refused_since({request.service, range->keys.first, range->fence}, now);
+    if (refused_since && now - *refused_since >= max_handover_time)
+        return hold_back{key_move_retry_time, key_move_retry_time,
+                         "the owner of the key has no grant for it"};
+    return std::nullopt;
+}
+
 std::optional<request_router::hold_back> request_router::hold_back_of_move(const routed_request& request,
                                                                            time_point now) const
 {
