Pace requests to cold targets with permits of the coordinator

A target that had just started got as many requests as a warm one: 15 to 17 in a second where 14 are allowed, and far more when a data centre returned or an evacuation ended. With the columns cold-start and cold-per-s of a service and the bounds cold-overage and cold-slack, each attempt at a cold target uses a permit of the coordinator, under a name of its own in the mechanism for the rate limits that targets name. Targets are cold after a start or a return while there is traffic, after an evacuation of their data centre, and for as long as their registrations say. Requests without a key prefer warm targets; those for keys of a cold owner without permits are refused at once. The rate bounds the capacity of an owner in the balance. An instance without a coordinator has an equal part, at a time that differs between instances, and its unused permits lapse after 0.5 s, as saved ones of many instances would come together. Without the columns or the bounds nothing changes.

--- a/include/teaseltally/admission/target_rate_limits.hpp
+++ b/include/teaseltally/admission/target_rate_limits.hpp
@@ -53,6 +53,10 @@
     std::map<std::string, rate_limit, std::less<>> limits_;
 };
 
+/// Returns the name of the permits for a target while it is cold. They are issued under a name of their own,
+/// as the target's responses say nothing of this limit.
+[[nodiscard]] std::string cold_permit_name(std::string_view incarnation);
+
 /// Request for permits, sent to the instance that issues them.
 struct permit_request {
     std::string incarnation;
@@ -114,6 +118,14 @@
     /// @returns whether the known limit changed.
     bool on_response(const std::string& incarnation, const rate_limit_statement& statement,
                      time_point sent_at, time_point now);
+    /// Records a limit that is known from elsewhere than a response.
+    void record_limit(const std::string& incarnation, const rate_limit& known)
+    {
+        limits_.apply(incarnation, known);
+    }
+    /// Sets the part of the time between two permits for a cold target by which this instance is later than
+    /// others while it issues its own, so that those of all instances do not come together.
+    void set_phase(double phase) noexcept { phase_ = phase; }
     /// Returns whether requests to a target need permits.
     [[nodiscard]] bool is_limited(std::string_view incarnation) const
     {
@@ -159,6 +171,7 @@
         time_point own_tokens_at{};
     };
     [[nodiscard]] double own_rate(double limit_per_s) const noexcept;
+    void accrue_own_tokens(std::string_view incarnation, held_permits& held, double per_s, time_point now);
 
     rate_limit_table limits_;
     std::map<std::string, held_permits, std::less<>> permits_;
@@ -168,6 +181,7 @@
     time_point unreachable_until_{};
     /// High until the actual number is known, so that the limits are not exceeded.
     unsigned instance_count_ = 40;
+    double phase_ = 0;
 };
 
 /// Encodes requests for another instance: one as a JSON array, several as an array of such arrays.
--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -125,7 +125,7 @@
     time_point hedge_at = time_point::max();
     /// Number of attempts that ended without a response although the target may have executed the request.
     unsigned unknown_outcomes = 0;
-    /// Incarnations of the limited targets of which one must grant a permit, the preferred one first.
+    /// Names of the permits of the limited targets of which one must be granted, the preferred one first.
     std::vector<std::string> limited_targets;
     /// Whether another instance passed on the request; it is not passed on again.
     bool is_relayed = false;
@@ -268,6 +268,9 @@
     [[nodiscard]] asio::awaitable<std::optional<http_response>>
     serve(std::shared_ptr<routed_request> request);
 
+    /// Returns the time when the last request of a caller was received.
+    [[nodiscard]] time_point last_request_at() const noexcept { return last_request_at_; }
+
     /// Removes and returns the traffic observed since the last call.
     [[nodiscard]] traffic_report extract_traffic();
 
@@ -351,7 +354,15 @@
     /// attempt is running, no permits are requested, as its response must not wait for them.
     [[nodiscard]] bool may_get_permit(const routed_request& request, const target_node& target,
                                       time_point now) const;
-    /// Returns the limited targets that a request may be sent to after permits were requested.
+    /// Returns the name of the permits for a target that a request lacks; null if it lacks none. A cold
+    /// target that limits its requests takes two.
+    [[nodiscard]] const std::string* lacking_permit(const target_node& target, time_point now) const;
+    [[nodiscard]] bool is_cold(const target_node& target) const
+    {
+        return permits_ != nullptr && permits_->is_limited(target.cold_permit());
+    }
+    /// Returns the names of the permits of the limited targets that a request may be sent to after permits
+    /// were requested.
     /// @param preferred target that comes first in the result.
     [[nodiscard]] std::vector<std::string>
     limited_targets(const routed_request& request, const service_state& state, const target_node& preferred);
@@ -480,6 +491,7 @@
     permit_source request_permits_;
     limit_report report_limit_;
     traffic_report traffic_;
+    time_point last_request_at_{};
     /// Current weight of each backend by route, for smooth weighted round robin.
     std::map<std::string, std::vector<double>, std::less<>> backend_credits_;
     unsigned instance_count_ = assumed_instance_count;
--- a/include/teaseltally/net/target_node.hpp
+++ b/include/teaseltally/net/target_node.hpp
@@ -130,6 +130,8 @@
     }
     /// Returns the name of the target incarnation that is registered.
     [[nodiscard]] const std::string& incarnation() const noexcept { return incarnation_; }
+    /// Returns the name of the permits for the incarnation while it is cold.
+    [[nodiscard]] const std::string& cold_permit() const noexcept { return cold_permit_; }
     /// Returns the address and port of the target.
     [[nodiscard]] const tcp_endpoint& endpoint() const noexcept { return endpoint_; }
 
@@ -172,6 +174,7 @@
     asio::any_io_executor executor_;
     target_entry entry_;
     std::string incarnation_;
+    std::string cold_permit_;
     tcp_endpoint endpoint_;
     target_load load_;
     owner_queue queue_;
--- a/include/teaseltally/routing/route_table.hpp
+++ b/include/teaseltally/routing/route_table.hpp
@@ -93,6 +93,10 @@
     unsigned max_connections = 64;
     /// Whether each request carries a key whose state is owned by exactly one target.
     bool keyed = false;
+    /// Time for which a target is cold after a start; 0 if targets are never cold.
+    milliseconds cold_start{0};
+    /// Requests per second that a cold target takes; 0 if they are not limited.
+    double cold_per_s = 0;
     bool operator==(const service_definition&) const = default;
 };
 
--- a/src/admission/target_rate_limits.cpp
+++ b/src/admission/target_rate_limits.cpp
@@ -34,6 +34,9 @@
 constexpr milliseconds issuer_retry_interval{250};
 /// Time after which statements and permits that nothing has renewed are forgotten.
 constexpr milliseconds lifetime{600'000};
+/// The same time for limits of cold targets, whose end no response shows.
+constexpr milliseconds cold_lifetime{60'000};
+constexpr std::string_view cold_suffix = "#cold";
 
 double issued_rate(double limit_per_s)
 {
@@ -177,7 +180,10 @@
 
 void rate_limit_table::remove_expired(time_point now)
 {
-    std::erase_if(limits_, [&](const auto& entry) { return now - entry.second.stated_at >= lifetime; });
+    std::erase_if(limits_, [&](const auto& entry) {
+        return now - entry.second.stated_at >=
+               (entry.first.ends_with(cold_suffix) ? cold_lifetime : lifetime);
+    });
 }
 
 permit_grant permit_issuer::grant(const permit_request& request, time_point now)
@@ -231,6 +237,33 @@
     return known != nullptr && known->stated_at < sent_at && limits_.apply(incarnation, {std::nullopt, now});
 }
 
+std::string cold_permit_name(std::string_view incarnation)
+{
+    return std::string{incarnation}.append(cold_suffix);
+}
+
+void permit_holder::accrue_own_tokens(std::string_view incarnation, held_permits& held, double per_s,
+                                      time_point now)
+{
+    const bool is_cold = incarnation.ends_with(cold_suffix);
+    if (held.own_tokens_at < *unreachable_since_) {
+        held.own_tokens = is_cold ? -phase_ : 0;
+        held.own_tokens_at = *unreachable_since_;
+    }
+    held.own_tokens += own_rate(per_s) * seconds(now - held.own_tokens_at);
+    held.own_tokens_at = now;
+    if (!is_cold) {
+        held.own_tokens = std::min(1.0, held.own_tokens);
+        return;
+    }
+    // Tokens that instances have saved up would come together when a key of the target becomes hot, so each
+    // lasts as long as a permit.
+    const double whole = std::floor(held.own_tokens);
+    const double part = held.own_tokens - whole;
+    if (whole >= 1)
+        held.own_tokens = part + (part <= own_rate(per_s) * seconds(max_saved_time) ? 1 : 0);
+}
+
 bool permit_holder::has_permit(const std::string& incarnation, time_point now)
 {
     const auto* limit = limits_.find(incarnation);
@@ -239,15 +272,8 @@
     auto& held = permits_[incarnation];
     if (held.valid_until <= now)
         held.count = 0;
-    if (unreachable_since_) {
-        if (held.own_tokens_at < *unreachable_since_) {
-            held.own_tokens = 0;
-            held.own_tokens_at = *unreachable_since_;
-        }
-        held.own_tokens =
-            std::min(1.0, held.own_tokens + own_rate(*limit->per_s) * seconds(now - held.own_tokens_at));
-        held.own_tokens_at = now;
-    }
+    if (unreachable_since_)
+        accrue_own_tokens(incarnation, held, *limit->per_s, now);
     return held.count > 0 || (unreachable_since_ && held.own_tokens >= 1);
 }
 
--- a/src/net/request_choice.cpp
+++ b/src/net/request_choice.cpp
@@ -97,6 +97,7 @@
         data_centre_crossing_share)};
     std::shared_ptr<target_node> best;
     double best_cost = 0;
+    bool best_is_cold = false;
     std::uniform_real_distribution<double> cost_jitter(0.95, 1.05);
     const auto connections = connection_limit(request.service);
     for (const auto& node : state.targets) {
@@ -110,9 +111,11 @@
             expected += crossing_cost;
         const double cost = static_cast<double>(expected.count()) * cost_jitter(random_) *
                             (already_tried ? tried_target_cost_factor : 1);
-        if (!best || cost < best_cost) {
+        const bool cold = is_cold(*node);
+        if (!best || (cold == best_is_cold ? cost < best_cost : best_is_cold)) {
             best = node;
             best_cost = cost;
+            best_is_cold = cold;
         }
     }
     return best;
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -522,7 +522,7 @@
     if (!target || (request->needs_retry_token() && state.retry_budget.tokens() < 1))
         return attempt_start::blocked;
     const auto now = boot_clock::now();
-    if (permits_ != nullptr && !permits_->has_permit(target->incarnation(), now)) {
+    if (lacking_permit(*target, now) != nullptr) {
         request->limited_targets = limited_targets(*request, state, *target);
         return attempt_start::permit_needed;
     }
@@ -531,7 +531,8 @@
     if (!connection)
         return attempt_start::blocked;
     if (permits_ != nullptr)
-        static_cast<void>(permits_->use_permit(target->incarnation(), now));
+        for (const auto& name : {target->incarnation(), target->cold_permit()})
+            static_cast<void>(permits_->use_permit(name, now));
     pay_for_send(*request, state);
     if (request->key)
         target->queue().on_sent(now);
@@ -635,6 +636,7 @@
         co_return refused;
     auto& state = state_of(request->service);
     if (!request->is_relayed) {
+        last_request_at_ = request->received_at;
         state.retry_budget.deposit();
         ++state.counts.requests;
     }
--- a/src/net/request_statements.cpp
+++ b/src/net/request_statements.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds confirmation_retry_time{500};
 /// Time after which a caller may return if all targets are evacuated. Evacuations last for seconds at least.
 constexpr milliseconds evacuation_retry_time{1000};
+constexpr std::string_view limit_cause = "rate limits of the targets reached";
+constexpr std::string_view cold_cause = "the targets are cold";
 constexpr std::string_view other_process_cause = "another process responds at the address of the target";
 
 } // namespace
@@ -94,10 +96,20 @@
     report_limit_(incarnation);
 }
 
+const std::string* request_router::lacking_permit(const target_node& target, time_point now) const
+{
+    if (permits_ == nullptr)
+        return nullptr;
+    for (const auto* name : {&target.incarnation(), &target.cold_permit()})
+        if (!permits_->has_permit(*name, now))
+            return name;
+    return nullptr;
+}
+
 bool request_router::may_get_permit(const routed_request& request, const target_node& target,
                                     time_point now) const
 {
-    if (permits_ == nullptr || permits_->has_permit(target.incarnation(), now))
+    if (lacking_permit(target, now) == nullptr)
         return true;
     const bool running =
         std::ranges::any_of(request.attempts, [](const auto& attempt) { return !attempt->ended; });
@@ -109,31 +121,35 @@
                                                          const target_node& preferred)
 {
     const auto now = boot_clock::now();
-    std::vector<std::string> incarnations;
+    std::vector<std::string> names;
     if (!request.key)
         for (const auto& target : state.targets)
             if (target.get() != &preferred && target->is_usable() && has_capacity(*target, false) &&
-                !permits_->has_permit(target->incarnation(), now) && !is_held_back(*target, now))
-                incarnations.push_back(target->incarnation());
-    std::ranges::shuffle(incarnations, random_);
-    incarnations.resize(std::min(incarnations.size(), max_permit_targets - 1));
-    incarnations.insert(incarnations.begin(), preferred.incarnation());
-    return incarnations;
+                !is_held_back(*target, now))
+                if (const auto* name = lacking_permit(*target, now))
+                    names.push_back(*name);
+    std::ranges::shuffle(names, random_);
+    names.resize(std::min(names.size(), max_permit_targets - 1));
+    const auto* first = lacking_permit(preferred, now);
+    names.insert(names.begin(), first == nullptr ? preferred.incarnation() : *first);
+    return names;
 }
 
 bool request_router::is_held_back(const target_node& target, time_point now) const
 {
-    return permits_ != nullptr && !permits_->has_permit(target.incarnation(), now) &&
-           now < permits_->held_back_until(target.incarnation());
+    const auto* name = lacking_permit(target, now);
+    return name != nullptr && now < permits_->held_back_until(*name);
 }
 
 std::optional<request_router::hold_back> request_router::hold_back_of(const target_node& target,
                                                                       time_point now) const
 {
     std::optional<hold_back> held;
-    if (is_held_back(target, now))
-        held = {
-            permits_->held_back_until(target.incarnation()) - now, {}, "rate limits of the targets reached"};
+    if (const auto* name = lacking_permit(target, now);
+        name != nullptr && now < permits_->held_back_until(*name))
+        held = {permits_->held_back_until(*name) - now,
+                {},
+                name == &target.cold_permit() ? cold_cause : limit_cause};
     const auto& statements = target.statements();
     if (statements.is_resting(now) && (!held || statements.rest_until() - now > held->wait))
         held = {statements.rest_until() - now, statements.rest_length() / return_spread_divisor,
@@ -162,9 +178,10 @@
             return hold_back_of_move(request, now);
         if (const auto held = hold_back_of(*new_owner, now))
             return held;
-        if (permits_ == nullptr || permits_->has_permit(new_owner->incarnation(), now))
+        const auto* lacking = lacking_permit(*new_owner, now);
+        if (lacking == nullptr)
             return std::nullopt;
-        return hold_back{{}, {}, "rate limits of the targets reached"};
+        return hold_back{{}, {}, lacking == &new_owner->cold_permit() ? cold_cause : limit_cause};
     }
     std::optional<hold_back> first;
     for (const auto& target : state.targets) {
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -207,7 +207,8 @@
 target_node::target_node(asio::any_io_executor executor, target_entry entry, tcp_endpoint target_endpoint,
                          microseconds expected_service_time, std::shared_ptr<target_statements> statements)
     : executor_(std::move(executor)), entry_(std::move(entry)),
-      incarnation_(incarnation_name(entry_.id, entry_.start_unix_ms)), endpoint_(std::move(target_endpoint)),
+      incarnation_(incarnation_name(entry_.id, entry_.start_unix_ms)),
+      cold_permit_(cold_permit_name(incarnation_)), endpoint_(std::move(target_endpoint)),
       load_(entry_.slots, expected_service_time), statements_(std::move(statements))
 {
     const auto now = boot_clock::now();
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -257,10 +257,10 @@
         const auto service_time = speed == speeds_.end() ? std::nullopt : speed->second.service_time();
         const double time_us = service_time ? static_cast<double>(service_time->count()) : average_us;
         double capacity = entry.slots * us_per_s / time_us;
-        if (const auto* limit = view.rate_limits == nullptr
-                                    ? nullptr
-                                    : view.rate_limits->find(incarnation_name(id, entry.start_unix_ms)))
-            capacity = std::min(capacity, std::max(*limit->per_s, min_limited_capacity));
+        const auto incarnation = incarnation_name(id, entry.start_unix_ms);
+        for (const auto& name : {incarnation, cold_permit_name(incarnation)})
+            if (const auto* limit = view.rate_limits == nullptr ? nullptr : view.rate_limits->find(name))
+                capacity = std::min(capacity, std::max(*limit->per_s, min_limited_capacity));
         targets.push_back({{entry.id, entry.start_unix_ms, entry.address}, capacity});
     }
     return targets;
--- a/tests/front_evacuation_tests.cpp
+++ b/tests/front_evacuation_tests.cpp
@@ -129,3 +129,83 @@
     });
     CHECK(arrivals_in_b(site, begun, time_point::max()) > 0);
 }
+
+// Guards against the requests that a target gets which has just started, as many as a warm one (15 to 17 in a
+// second where 14 are allowed, in one deployment).
+TEST_CASE(
+    "targets that start while there is traffic, or return from an evacuation, are filled within the bound")
+{
+    constexpr unsigned cold_per_s = 4;
+    constexpr std::ptrdiff_t allowed = 14;
+    constexpr milliseconds cold_start{4000};
+    for (const bool paced : {true, false}) {
+        CAPTURE(paced);
+        auto options = options_for(false);
+        options.targets = 4;
+        options.bounds["evacuation"] = "5s";
+        if (paced) {
+            options.bounds["cold-overage"] = 1.5;
+            options.bounds["cold-slack"] = 8;
+        }
+        deployment site(options);
+        site.change_configuration([&](Json::Value& changed) {
+            auto& services = changed["services"];
+            services["columns"].append("cold-start");
+            services["columns"].append("cold-per-s");
+            services["rows"][0].append(std::to_string(cold_start.count()) + "ms");
+            services["rows"][0].append(cold_per_s);
+        });
+        time_point restarted{};
+        time_point evacuated{};
+        time_point returned{};
+        run(site.io, [&]() -> asio::awaitable<void> {
+            co_await site.start();
+            start_load(site, front_count);
+            co_await sleep_for(milliseconds{3000});
+            site.targets[0]->end();
+            co_await sleep_for(milliseconds{1000});
+            restarted = boot_clock::now();
+            co_await sleep_for(cold_start);
+            evacuated = boot_clock::now();
+            for (const char* key : {"evacuate/a", "evacuate/b"})
+                site.store.put("keyed.op", key, "requested");
+            co_await sleep_for(milliseconds{3000});
+            returned = boot_clock::now();
+            for (const char* key : {"evacuate/a", "evacuate/b"})
+                site.store.put("keyed.op", key, std::nullopt);
+            co_await sleep_for(cold_start);
+            site.stop_load();
+            co_await sleep_for(milliseconds{2200});
+        });
+        // The pacing ends `cold_start` after an instance knows of the start.
+        const auto most_in_second = [&](std::size_t index, time_point from) {
+            std::vector<time_point> arrivals;
+            for (const auto& run : site.runs)
+                if (run.target == site.targets[index]->id() && run.arrived >= from &&
+                    run.arrived < from + cold_start - milliseconds{500})
+                    arrivals.push_back(run.arrived);
+            std::ranges::sort(arrivals);
+            std::ptrdiff_t most = 0;
+            for (auto first = arrivals.begin(); first != arrivals.end(); ++first)
+                most = std::max(
+                    most, std::upper_bound(first, arrivals.end(), *first + std::chrono::seconds{1}) - first);
+            return most;
+        };
+        const auto after_start = most_in_second(0, restarted - milliseconds{500});
+        std::ptrdiff_t after_return = 0;
+        for (std::size_t index = 0; index < site.targets.size(); ++index)
+            after_return = std::max(after_return, most_in_second(index, returned + milliseconds{200}));
+        const auto warm = answers_between(site, restarted, evacuated - milliseconds{200});
+        const auto cold = answers_between(site, evacuated + milliseconds{2500}, time_point::max());
+        MESSAGE(std::string{paced ? "paced" : "not paced"}
+                << ": at most " << after_start << " in a second after the start, " << after_return
+                << " after the return; served " << warm.served << " of " << warm.sent << ", then "
+                << cold.served << " of " << cold.sent << ", refused late " << cold.refused_late);
+        CHECK((after_start <= allowed) == paced);
+        CHECK((after_return <= allowed) == paced);
+        CHECK(after_return > 0);
+        CHECK(warm.share() >= 0.99);
+        CHECK(cold.refused_late == 0);
+        CHECK(cold.refused_without_time == 0);
+    }
+}
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -46,8 +46,8 @@
 "routes":{"columns":["name","host","path-prefix","kind","timeout","target-latency","priority","backends","max-attempts","service"],
 "rows":[["r1","h.example","/a/","safe","1000ms","0.3s",2,[{"service":"x","weight":90},{"service":"y","weight":10}],2,null],
 ["r2","h.example","/b/","unsafe","1200ms","400ms",1,null,2,"x"]]},
-"services":{"columns":["name","health-path","max-connections","protocol","tls","sharded","warm","grants"],
-"rows":[["x","/health",110,"h1",false,null,null,null],["y","/health",110,"h1",false,true,"5s","direct_call"]]},
+"services":{"columns":["name","health-path","max-connections","protocol","tls","sharded","warm","grants","cold-start","cold-per-s"],
+"rows":[["x","/health",110,"h1",false,null,null,null,null,null],["y","/health",110,"h1",false,true,"5s","direct_call","4s",2.5]]},
 "limits":{"max-header-bytes":16384,"max-body-bytes":1000,"header-timeout":"3000ms","idle-timeout":"15s"}})";
 
 const std::string valid_target =
@@ -73,6 +73,8 @@
     CHECK(values.stop_grace_period == milliseconds{7000});
     CHECK(values.target_report_interval == milliseconds{870});
     CHECK(values.retry_ratio == doctest::Approx(0.25));
+    CHECK(values.evacuation_limit.count() == 0);
+    CHECK_FALSE(values.cold.is_set());
     CHECK(values.retry_burst == doctest::Approx(56));
 }
 
@@ -208,6 +210,9 @@
     CHECK(read.routes[0].backends.size() == 2);
     CHECK(read.routes[1].semantics == execution_semantics::at_most_once);
     CHECK(read.services.at("y").keyed);
+    CHECK(read.services.at("x").cold_per_s == 0);
+    CHECK(read.services.at("y").cold_per_s == doctest::Approx(2.5));
+    CHECK(read.services.at("y").cold_start == milliseconds{4000});
     CHECK(read.limits.idle_timeout == milliseconds{15'000});
 }
 
