Let one follower read the store when its reader fails

As soon as the streams of a followed instance were out of date, or it did not answer, each of its followers began to read up to five topics of the store, all at the same moment. With one reader for the deployment these would be all instances.

A follower now asks the second instance of its data centre and the second of the deployment first. A follower whose streams are 1.65 s old reads the store itself: what the store accepted after the last read is known within 2 s with a margin. Followers used to notice at 1.3 s to 1.7 s; a request for updates now ends at 1.3 s. One that follows an instance in the middle of the tree gives it 0.2 s to change its source. The first instance of a data centre still reads the store at once if the one of another data centre does not answer.

--- a/include/teaseltally/net/peer_feed.hpp
+++ b/include/teaseltally/net/peer_feed.hpp
@@ -58,8 +58,9 @@
 /// ordered by `precedes`, with `fan_out` children per instance. Its root follows the first instance of the
 /// deployment, and only that one reads the store. Since each instance follows one that precedes it, there is
 /// no cycle, also if the lists of members differ. An instance that is unreachable, or whose streams are out
-/// of date, is skipped in favour of the next, and the store is read if there is none. If an instance has to
-/// read the store but the store is unavailable, it follows any other instance.
+/// of date, is skipped in favour of the next. The store is read if there is none, or if that takes too long;
+/// so only the first of the remaining instances reads it. If an instance has to read the store but the store
+/// is unavailable, it follows any other instance.
 class peer_feed {
 public:
     /// Maximum number of instances that follow one instance while all of them are reachable.
@@ -140,7 +141,19 @@
         time_point until{};
     };
 
+    /// Returns the time until which the streams count as up to date without a further confirmation.
+    [[nodiscard]] time_point freshness_end() const;
     [[nodiscard]] bool streams_are_fresh(time_point now) const;
+    /// Returns the time for which a followed instance may have streams that are out of date: one that follows
+    /// another one itself changes its source meanwhile.
+    [[nodiscard]] milliseconds recovery_time_of(const feed_member& source) const;
+    /// Returns the time limit for an update: a followed instance is left when the streams are out of date.
+    [[nodiscard]] milliseconds update_wait(const feed_member& source, time_point now) const;
+    /// Sets the time from which this instance reads the store unless another one provides the streams before.
+    void limit_provision_time();
+    /// Returns the preceding instances that are not avoided, in the order in which they are tried: the
+    /// parent, the second of the data centre, the second and the first of the deployment, the others of the
+    /// data centre.
     [[nodiscard]] std::vector<feed_member> preferred_sources() const;
     [[nodiscard]] std::vector<feed_member> fallback_sources() const;
     [[nodiscard]] asio::awaitable<bool> follow_first(std::vector<feed_member> candidates);
@@ -194,7 +207,10 @@
     /// Streams whose differences did not fit the local value.
     requested_streams needs_whole_{};
     bool started_ = false;
+    time_point started_at_{};
     bool reads_store_ = false;
+    /// Time from which the store is read; nothing while an instance is followed or the store is read.
+    std::optional<time_point> read_by_;
 };
 
 } // namespace teaseltally
--- a/src/net/peer_feed.cpp
+++ b/src/net/peer_feed.cpp
@@ -30,6 +30,19 @@
 /// heartbeats of the coordinator for the ownership.
 constexpr milliseconds max_targets_age{1300};
 constexpr milliseconds max_ownership_age{2200};
+/// Time after `max_targets_age`, or after the start, that other instances get to provide the streams when the
+/// followed one has failed, before this instance reads the store too. The first of them reads the store at
+/// once, and its followers get the records from it in two exchanges of up to 100 ms each, the period in which
+/// small instances get processor time. With `max_targets_age`, the store is read 1.65 s after the last read
+/// at the latest: what it accepted meanwhile must be known 2 s after that.
+constexpr milliseconds provision_time{350};
+/// Time beyond `max_targets_age` in which a followed instance that follows another one itself can change its
+/// source, so that its followers stay.
+constexpr milliseconds recovery_time{200};
+/// Time after which an instance that is reachable has answered, also if it has nothing new.
+constexpr milliseconds reachable_time = long_poll_timeout + milliseconds{50};
+/// Minimum time limit for an update.
+constexpr milliseconds min_update_wait{100};
 /// Value sent in place of the position of a stream that is not requested.
 constexpr auto unrequested_position = "unwanted";
 /// First era of a store. In a later one, an update that names no era may be of an earlier one.
@@ -122,34 +135,74 @@
 {
 }
 
+time_point peer_feed::freshness_end() const
+{
+    return std::min(local_streams_[index_of(stream_kind::targets)].last_read_sent() + max_targets_age,
+                    local_streams_[index_of(stream_kind::ownership)].last_read_sent() + max_ownership_age);
+}
+
 bool peer_feed::streams_are_fresh(time_point now) const
 {
-    return now - local_streams_[index_of(stream_kind::targets)].last_read_sent() < max_targets_age &&
-           now - local_streams_[index_of(stream_kind::ownership)].last_read_sent() < max_ownership_age;
+    return now < freshness_end();
+}
+
+milliseconds peer_feed::recovery_time_of(const feed_member& source) const
+{
+    const bool reads_for_all =
+        std::ranges::none_of(members_, [&](const feed_member& member) { return precedes(member, source); });
+    return reads_for_all ? milliseconds{0} : recovery_time;
+}
+
+milliseconds peer_feed::update_wait(const feed_member& source, time_point now) const
+{
+    const auto until = freshness_end() + recovery_time_of(source);
+    if (now >= until)
+        return max_update_wait;
+    return std::clamp(std::chrono::ceil<milliseconds>(until - now), min_update_wait, max_update_wait);
+}
+
+void peer_feed::limit_provision_time()
+{
+    if (reads_store_ || read_by_)
+        return;
+    // An instance that has just started has no streams yet, and others may start with it.
+    read_by_ = std::max(freshness_end(), started_at_) + provision_time;
+    for (auto* waiter : reader_waiters_)
+        waiter->notify();
 }
 
 std::vector<feed_member> peer_feed::preferred_sources() const
 {
-    std::vector<feed_member> preceding;
+    std::vector<feed_member> local;
+    std::vector<feed_member> all;
     for (const auto& member : members_)
-        if (member.data_centre == self_.data_centre && precedes(member, self_))
-            preceding.push_back(member);
-    if (preceding.empty()) {
-        const auto first = std::ranges::min_element(members_, precedes);
-        if (first != members_.end() && precedes(*first, self_))
-            preceding.push_back(*first);
-    }
-    else {
-        std::ranges::sort(preceding, precedes);
-        const auto parent = static_cast<std::ptrdiff_t>((preceding.size() - 1) / fan_out);
-        std::rotate(preceding.begin(), preceding.begin() + parent, preceding.begin() + parent + 1);
-    }
+        if (precedes(member, self_)) {
+            all.push_back(member);
+            if (member.data_centre == self_.data_centre)
+                local.push_back(member);
+        }
+    std::ranges::sort(local, precedes);
+    std::ranges::sort(all, precedes);
     const auto now = boot_clock::now();
-    std::erase_if(preceding, [&](const feed_member& member) {
-        const auto entry = backoffs_.find(member.instance);
-        return entry != backoffs_.end() && entry->second.until > now;
-    });
-    return preceding;
+    std::vector<feed_member> sources;
+    const auto add = [&](const std::vector<feed_member>& from, std::size_t index) {
+        if (index >= from.size() || std::ranges::find(sources, from[index]) != sources.end())
+            return;
+        const auto entry = backoffs_.find(from[index].instance);
+        if (entry == backoffs_.end() || entry->second.until <= now)
+            sources.push_back(from[index]);
+    };
+    if (local.empty())
+        add(all, 0);
+    else
+        add(local, (local.size() - 1) / fan_out);
+    // If the first instance fails, the second one reads the store, and that of each data centre follows it.
+    add(local, 1);
+    add(all, 1);
+    add(all, 0);
+    for (std::size_t index = 0; index < local.size(); ++index)
+        add(local, index);
+    return sources;
 }
 
 std::vector<feed_member> peer_feed::fallback_sources() const
@@ -314,21 +367,30 @@
         requested_streams requested{};
         for (std::size_t kind = 0; kind < stream_kind_count; ++kind)
             requested[kind] = !transfers_[kind];
-        const bool answered = co_await follow_once(member.address, requested, max_update_wait, no_pause);
+        const auto sent_at = boot_clock::now();
+        const auto max_wait = update_wait(member, sent_at);
+        const bool answered = co_await follow_once(member.address, requested, max_wait, no_pause);
+        const auto now = boot_clock::now();
         const bool completes_transfers = failed_transfer_source_ != member.address;
         if (!completes_transfers)
             failed_transfer_source_.reset();
-        if (answered && completes_transfers && streams_are_fresh(boot_clock::now())) {
+        if (answered && completes_transfers && now < freshness_end() + recovery_time_of(member)) {
             backoffs_.erase(member.instance);
             if (member.data_centre == self_.data_centre)
                 followed_address_ = member.address;
             failed_transfer_source_.reset();
             co_return true;
         }
-        record_failure(member.instance, boot_clock::now());
+        record_failure(member.instance, now);
         followed_address_.reset();
-        // The store is read while other instances are tried, so that the streams stay up to date.
-        set_reads_store(true);
+        // The store is read while other instances are tried if that takes long, so that the streams stay up
+        // to date. If the other data centre is unreachable, the instances of this one depend on it at once.
+        const bool ended_early = now - sent_at < max_wait - min_update_wait / 2;
+        if (!answered && member.data_centre != self_.data_centre &&
+            (ended_early || now - sent_at >= reachable_time))
+            set_reads_store(true);
+        else
+            limit_provision_time();
     }
     co_return false;
 }
@@ -336,6 +398,7 @@
 asio::awaitable<void> peer_feed::run()
 {
     started_ = true;
+    started_at_ = boot_clock::now();
     while (true) {
         const bool followed = co_await follow_first(preferred_sources());
         if (followed) {
@@ -353,6 +416,7 @@
 void peer_feed::set_reads_store(bool reads)
 {
     reads_store_ = reads;
+    read_by_.reset();
     if (reads)
         for (auto* waiter : reader_waiters_)
             waiter->notify();
@@ -362,8 +426,14 @@
 {
     notifier wake(executor_);
     const notifier_registration registration(reader_waiters_, wake);
-    while (!reads_store_)
-        static_cast<void>(co_await wake.wait_until(boot_clock::now() + reader_check_interval));
+    while (!reads_store_) {
+        const auto now = boot_clock::now();
+        if (read_by_ && *read_by_ <= now)
+            set_reads_store(true);
+        else
+            static_cast<void>(co_await wake.wait_until(
+                std::min(now + reader_check_interval, read_by_.value_or(time_point::max()))));
+    }
 }
 
 void peer_feed::notify_followers()
