Read the targets by long polls

A read now waits 0.8 s for a record. The store answers as soon as there is one; without one, it answers with what it has at the end of the wait, so the targets are confirmed as of 0.1 s before that and stay below 1 s of age (limit 1.3 s). Counted from the sending of the read they would be up to 1.6 s old. After a record follow a pause of 0.3 s and a read without a wait, which confirms the stream; while there are more records, reads are 550 ms apart as before. A store that does not wait is read each 550 ms. A read that waits fails after 1.45 s, as a silent store used to be noticed.

The new test of the client failed before: it expects a wait, the time that an answer confirms, and the pauses.

--- a/tests/front_feed_tests.cpp
+++ b/tests/front_feed_tests.cpp
@@ -103,6 +103,9 @@
         co_await sleep_for(calm);
         const auto after = reads_of(site);
         CHECK(after[reader] > before[reader]);
+        // Intervals of 0.8, 1.2, 1.5 and 4 s for the targets, the configuration, the crashes and the members,
+        // one more read of each, and three of the ownership when the coordinator is late.
+        CHECK(after[reader] - before[reader] <= 6 + 5 + 4 + 2 + 3);
         for (std::size_t front = 1; front < after.size(); ++front) {
             CAPTURE(front);
             CHECK(after[front] == before[front]);
--- a/tests/store_client_tests.cpp
+++ b/tests/store_client_tests.cpp
@@ -425,6 +425,59 @@
                                                "/api/log-read?topic=keyed.t&part=0&from=5"});
 }
 
+// Guards against streams that count as older or more recent than they are, and against a call for each
+// record.
+TEST_CASE(
+    "a read that waits in vain confirms the end of its wait, and one with records is confirmed after a pause")
+{
+    asio::io_context io(1);
+    constexpr milliseconds wait{400};
+    constexpr milliseconds pause{300};
+    constexpr milliseconds record_pause{150};
+    std::vector<std::string> requests;
+    std::vector<time_point> arrivals;
+    http_server server(io.get_executor(), any_port, {},
+                       [&](http_request request) -> asio::awaitable<http_response> {
+                           requests.emplace_back(request.target());
+                           arrivals.push_back(boot_clock::now());
+                           const auto turn = requests.size();
+                           if (turn == 1 || turn == 5)
+                               co_await sleep_for(wait);
+                           co_return turn == 2 || turn == 3 ? page(turn + 4, encode_keyed_record("a", "one"))
+                                                            : page(turn == 1 ? 5 : 7);
+                       });
+    http_client connections(io.get_executor(), {});
+    store_client client(connections, server.local_endpoint());
+    read_retry_queue retries;
+    log_position position{0, 5};
+    std::vector<time_point> confirmed;
+    topic_handler handler{[&] { return std::optional{position}; },
+                          []() -> asio::awaitable<void> { co_return; },
+                          [](const keyed_page&) {},
+                          [](const stream_record&) {},
+                          [&](time_point at, log_position end) {
+                              confirmed.push_back(at);
+                              position = end;
+                          },
+                          [] {}};
+    asio::co_spawn(io, follow_topic(client, retries, "keyed.t", {wait, pause, false, record_pause}, handler),
+                   asio::detached);
+    while (confirmed.size() < 5)
+        io.run_one_for(milliseconds{100});
+    const std::string target = "/api/log-read?topic=keyed.t&part=0&from=";
+    requests.resize(5);
+    CHECK(requests == std::vector<std::string>{target + "5&wait-ms=400", target + "5&wait-ms=400",
+                                               target + "6", target + "7", target + "7&wait-ms=400"});
+    CHECK(confirmed[0] >= arrivals[0] + milliseconds{200});
+    CHECK(confirmed[0] <= arrivals[0] + wait);
+    CHECK(confirmed[1] <= arrivals[1]);
+    CHECK(confirmed[3] <= arrivals[3]);
+    CHECK(arrivals[2] - arrivals[1] >= record_pause);
+    CHECK(arrivals[3] - arrivals[2] >= pause);
+    CHECK(arrivals[4] - arrivals[3] < pause);
+    CHECK(confirmed[4] >= arrivals[4] + milliseconds{200});
+}
+
 // Guards against reads in a loop while the newest records don't lead to a position that the store accepts.
 TEST_CASE("while the store is away or refuses each position the pauses between reads increase")
 {
