--- a/tests/front_feed_tests.cpp
+++ b/tests/front_feed_tests.cpp
@@ -116,6 +116,34 @@
     });
 }
 
+// Guards against calls to the store that grow with the number of instances that start.
+TEST_CASE("a first start takes three calls to the store, and a restart one, while another instance reads it")
+{
+    deployment site(three_data_centres(true));
+    run(site.io, [&]() -> asio::awaitable<void> {
+        co_await site.start(1);
+        for (std::size_t front = 1; front < site.fronts.size(); ++front)
+            site.fronts[front]->start();
+        for (std::size_t front = 1; front < site.fronts.size(); ++front)
+            co_await site.wait_until_ready(front);
+        co_await sleep_for(milliseconds{1500});
+        const auto coordinator = site.coordinator();
+        for (std::size_t front = 1; front < site.fronts.size(); ++front) {
+            CAPTURE(front);
+            CHECK(site.store.calls(front).reads == 2);
+            // A coordinator appends its claims as well.
+            CHECK((front == coordinator || site.store.calls(front).writes == 1));
+        }
+        const std::size_t restarted = coordinator == 4 ? 5 : 4;
+        const auto before = site.store.calls(restarted).all();
+        site.fronts[restarted]->kill();
+        site.fronts[restarted]->start();
+        co_await site.wait_until_ready(restarted);
+        co_await sleep_for(milliseconds{1500});
+        CHECK(site.store.calls(restarted).all() == before + 1);
+    });
+}
+
 // Guards against instances that depend on a reader that has ended, or that the store rejects.
 TEST_CASE("a configuration and the end of a target are known in time whichever way the reader fails")
 {
