Call the store less often while it is away

When the streams are out of date, every instance started to read up to five topics at once, and repeated a read each 0.5 s for as long as the store was away.

From the third instance of a data centre on, reads are repeated after 0.5 s and then each second: those before it repeat theirs each 0.5 s and pass on what they read, and a configuration written at the end of an outage is still in force within 2 s.

--- a/include/teaseltally/net/peer_feed.hpp
+++ b/include/teaseltally/net/peer_feed.hpp
@@ -105,6 +105,8 @@
     }
     /// Returns whether this instance has to read the store itself.
     [[nodiscard]] bool reads_store() const noexcept { return reads_store_; }
+    /// Returns whether several instances precede this one, so that they read the store before it does.
+    [[nodiscard]] bool has_preceding_readers() const;
     /// Waits until this instance has to read the store.
     [[nodiscard]] asio::awaitable<void> wait_until_reader();
     /// Requests the updates of one stream from an instance once, and applies them.
--- a/src/net/peer_feed.cpp
+++ b/src/net/peer_feed.cpp
@@ -422,6 +422,13 @@
             waiter->notify();
 }
 
+bool peer_feed::has_preceding_readers() const
+{
+    return std::ranges::count_if(members_, [this](const feed_member& member) {
+               return member.data_centre == self_.data_centre && precedes(member, self_);
+           }) > 1;
+}
+
 asio::awaitable<void> peer_feed::wait_until_reader()
 {
     notifier wake(executor_);
--- a/tests/front_feed_tests.cpp
+++ b/tests/front_feed_tests.cpp
@@ -16,11 +16,11 @@
 /// The first instance by name, which reads the store for all.
 constexpr std::size_t reader = 0;
 
-deployment_options three_data_centres(bool keyed)
+deployment_options three_data_centres(bool keyed, std::size_t fronts = 6)
 {
     deployment_options options;
     options.behaviour.keyed = keyed;
-    options.fronts = 6;
+    options.fronts = fronts;
     options.data_centres = {"a", "b", "c"};
     return options;
 }
@@ -79,10 +79,10 @@
             asio::detached);
     while (pending > 0)
         co_await sleep_for(probe_interval);
-    for (const auto& [front, time] : times) {
+    for (const auto& served : times) {
         CAPTURE(route);
-        CAPTURE(front);
-        CHECK(time <= configuration_time);
+        CAPTURE(served.first);
+        CHECK(served.second <= configuration_time);
     }
 }
 
@@ -144,6 +144,34 @@
     });
 }
 
+// Guards against refused calls that grow with the number of instances and topics.
+TEST_CASE("while the store is away each instance repeats few calls, and its return is known in time")
+{
+    constexpr std::size_t fronts = 9;
+    // The third instance of each data centre has others before it that repeat their reads more often.
+    constexpr std::size_t first_third = 6;
+    constexpr milliseconds away{6000};
+    // It reads when its streams are 1.65 s old, at least 0.75 s old when the store goes away; then once
+    // within 0.5 s, and after that each 0.75 s or more. Two more are on their way at the beginning.
+    constexpr std::size_t tolerated_calls = 1 + 1 + 6 + 2;
+    deployment site(three_data_centres(false, fronts));
+    run(site.io, [&]() -> asio::awaitable<void> {
+        co_await site.start();
+        co_await sleep_for(milliseconds{1500});
+        const auto before = reads_of(site);
+        site.store.go_away();
+        co_await sleep_for(away);
+        const auto after = reads_of(site);
+        for (std::size_t front = first_third; front < fronts; ++front) {
+            CAPTURE(front);
+            MESSAGE((after[front] - before[front]) << " reads by instance " << front);
+            CHECK(after[front] - before[front] <= tolerated_calls);
+        }
+        site.store.return_from_copy(milliseconds{0});
+        co_await check_configuration_time(site, "returned", instances_from(site, 0));
+    });
+}
+
 // Guards against instances that depend on a reader that has ended, or that the store rejects.
 TEST_CASE("a configuration and the end of a target are known in time whichever way the reader fails")
 {
--- a/tests/store_client_tests.cpp
+++ b/tests/store_client_tests.cpp
@@ -382,9 +382,10 @@
 /// @param late_topics number of topics that are followed after 100 ms.
 /// @returns the requests.
 std::vector<std::string> follow_for(milliseconds time, std::deque<http_response> script, bool applied,
-                                    int topics = 1, int late_topics = 0)
+                                    int topics = 1, int late_topics = 0, bool others_retry = false)
 {
     read_retry_queue retries;
+    retries.set_others_retry(others_retry);
     asio::io_context io(1);
     scripted_store store(io);
     store.script = std::move(script);
@@ -490,6 +491,11 @@
     const auto failed = follow_for(milliseconds{1500}, {100, of_era(1, make_response(503, ""))}, true).size();
     CHECK(failed >= 4);
     CHECK(failed <= 5);
+    // If others repeat their reads as well, after 500 ms and then each second.
+    const auto rare =
+        follow_for(milliseconds{1500}, {100, of_era(1, make_response(503, ""))}, true, 1, 0, true).size();
+    CHECK(rare >= 2);
+    CHECK(rare <= 3);
     for (const bool applied : {false, true}) {
         const auto requests = follow_for(milliseconds{1500}, refused, applied).size();
         CHECK(requests >= 2);
