--- a/include/teaseltally/ownership/assignment.hpp
+++ b/include/teaseltally/ownership/assignment.hpp
@@ -110,6 +110,31 @@
                 range.former_owners.clear();
     }
 
+    /// Coalesces adjacent ranges of the same owner that have no former owners. No key changes its owner.
+    /// @param fence fencing token of the coalesced ranges. Only ranges with lower tokens are coalesced.
+    /// @param may_coalesce predicate that is called at most once for each range, in the order of the keys.
+    /// @returns by how much the number of ranges is reduced.
+    template <typename Predicate>
+    std::size_t coalesce(std::uint64_t fence, Predicate may_coalesce)
+    {
+        std::vector<owned_range> next;
+        bool follows = false;
+        for (auto& range : ranges_) {
+            const bool may = range.former_owners.empty() && range.fence < fence && may_coalesce(range);
+            if (may && follows && next.back().keys.last + 1 == range.keys.first &&
+                next.back().owner == range.owner) {
+                next.back().keys.last = range.keys.last;
+                next.back().fence = fence;
+            }
+            else
+                next.push_back(std::move(range));
+            follows = may;
+        }
+        const auto saved = ranges_.size() - next.size();
+        ranges_ = std::move(next);
+        return saved;
+    }
+
     /// Sets the `grants_left` of the former owners that lost their ranges when these were assigned.
     /// @param fence fencing token of the assignment. Equal times may be those of an earlier record, since log
     /// times of different coordinators differ.
--- a/include/teaseltally/ownership/range_manager.hpp
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -52,6 +52,10 @@
     /// that were assigned to the first of them would have to move.
     milliseconds registration_settling{1000};
     milliseconds max_registration_wait{4000};
+    /// Number of ranges of a service above which a record is written only in order to coalesce some, and the
+    /// minimum time between two such records. Each range takes a grant in each renewal interval.
+    std::size_t max_ranges = 1024;
+    milliseconds coalescing_interval{5000};
     /// Time after the notice of a new era of the store in which targets whose registrations were lost
     /// register again.
     milliseconds registration_return{2500};
@@ -214,6 +218,9 @@
     /// Returns the number of grants and releases that were due when orders were last sent and waited because
     /// others to the same targets had not completed.
     [[nodiscard]] std::size_t waiting_orders() const noexcept { return waiting_orders_; }
+    /// Returns by how much this instance has reduced the number of ranges by coalescing in records that it
+    /// planned.
+    [[nodiscard]] std::size_t coalesced_ranges() const noexcept { return coalesced_ranges_; }
     /// Returns the exclusion of targets that may hold keys unknown to this instance.
     [[nodiscard]] const holder_sweep& sweep() const noexcept { return sweep_; }
 
@@ -342,6 +349,9 @@
     [[nodiscard]] bool awaits_registrations(time_point now, const std::string& service, std::size_t targets);
     [[nodiscard]] std::optional<assignment> plan_service(time_point now, const ownership_view& view,
                                                          const std::string& service, std::uint64_t fence);
+    /// Returns whether a range can become part of a larger one: its owner is known to hold the keys, nothing
+    /// is about to change that, and no former owner may hold one of them.
+    [[nodiscard]] static bool is_settled(time_point now, const managed_range& range);
     [[nodiscard]] std::vector<balance_move> rebalance(time_point now, const std::string& service,
                                                       const assignment& current,
                                                       const std::vector<balance_target>& targets);
@@ -470,6 +480,8 @@
     bool first_reconcile_ = false;
     time_point next_balance_at_{};
     std::map<std::string, time_point, std::less<>> next_dominant_move_times_;
+    time_point next_coalescing_at_{};
+    std::size_t coalesced_ranges_ = 0;
     std::uint64_t next_order_id_ = 1;
     std::map<std::uint64_t, pending_grant> pending_grants_;
     /// Targets of the releases that have not completed, except those of the sweep, by the id of the order.
--- a/src/ownership/range_manager.cpp
+++ b/src/ownership/range_manager.cpp
@@ -11,6 +11,8 @@
 /// Number of ranges of a service for each move of a rebalancing round. The load of a target may lie in many
 /// ranges, each of which takes a move of its own.
 constexpr std::size_t ranges_per_move = 20;
+/// Number of ranges for each range that must be saved by a record that only coalesces.
+constexpr std::size_t max_ranges_per_saved_range = 16;
 /// Share of a target's room that is filled with a load that is still rising.
 constexpr double surge_fill_share = 0.5;
 
@@ -335,7 +337,23 @@
     const auto moved_at = log_time(now, view.log);
     for (const auto& move : moves)
         next.assign(move.keys, move.to, fence, moved_at);
-    if (moves.empty() && !cleared)
+    const bool is_written = !moves.empty() || cleared;
+    const bool coalesces =
+        is_written || (now >= next_coalescing_at_ && next.ranges().size() > timing_.max_ranges);
+    // While a sweep lasts, a new range is granted only when no other target can hold its keys.
+    if (coalesces && !sweep_.is_active()) {
+        const auto saved = next.coalesce(fence, [&](const owned_range& range) {
+            const auto* state = state_of(range);
+            return state != nullptr && state->recorded_fence == range.fence &&
+                   state->keys.last >= range.keys.last && same_incarnation(state->owner, range.owner) &&
+                   is_settled(now, *state) && !needs_owner(range);
+        });
+        // Few ranges are not worth a record.
+        if (!is_written && saved * max_ranges_per_saved_range < next.ranges().size())
+            return std::nullopt;
+        coalesced_ranges_ += saved;
+    }
+    else if (!is_written)
         return std::nullopt;
     suspend_renewals(now, view, managed, moves);
     next.set_grants_left(fence, moved_at, [&](key_range keys, const target_incarnation& former) {
@@ -344,6 +362,15 @@
     return next;
 }
 
+bool range_manager::is_settled(time_point now, const managed_range& range)
+{
+    return range.confirmed_until > now && range.handover.empty() && !range.failing_since &&
+           !range.owner_terminated && !range.fence_conflict && !range.suspended_at &&
+           std::ranges::all_of(range.former_grants, [&](const former_grant& grant) {
+               return grant.ended || grant.expires_by < now;
+           });
+}
+
 bool range_manager::is_lost(time_point now, const ownership_view& view, const service_ranges& ranges,
                             const managed_range& range) const
 {
@@ -444,6 +471,8 @@
     }
     if (now >= next_balance_at_)
         next_balance_at_ = now + timing_.balance_interval;
+    if (now >= next_coalescing_at_)
+        next_coalescing_at_ = now + timing_.coalescing_interval;
     if (order.records.empty() && now - last_append_ >= timing_.heartbeat_interval)
         add_claim(now, claim, order);
 }
--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -32,8 +32,10 @@
 
 /// A single coordinator whose appends succeed and whose targets answer each order with a given status.
 struct single_coordinator {
-    explicit single_coordinator(unsigned targets, milliseconds registration_settling = {})
-        : manager({"n1", 1, "10.1.0.1:1"}, {.registration_settling = registration_settling}, milliseconds{0})
+    explicit single_coordinator(unsigned targets, milliseconds registration_settling = {},
+                                std::size_t max_ranges = ownership_timing{}.max_ranges)
+        : manager({"n1", 1, "10.1.0.1:1"},
+                  {.registration_settling = registration_settling, .max_ranges = max_ranges}, milliseconds{0})
     {
         add_targets(1, targets);
     }
@@ -296,6 +298,56 @@
                                [](const owned_range& range) { return range.owner.id == "t1"; }));
 }
 
+// Guards against ranges whose number grows with each move until their renewals take all connections of a
+// target, and against a coalescing that takes keys from an owner or happens while one of the parts is not
+// known to be held.
+TEST_CASE(
+    "adjacent ranges of one owner are coalesced in records that are written anyway or if there are many")
+{
+    for (const bool many : {false, true}) {
+        CAPTURE(many);
+        single_coordinator site(3, {}, many ? 20 : ownership_timing{}.max_ranges);
+        const auto run = [&](int steps) {
+            for (int step = 0; step < steps; ++step)
+                site.step(milliseconds{100}, order_status::done);
+        };
+        run(30);
+        const auto whole = site.log.find("ledger")->ranges().front();
+        const auto count = site.log.find("ledger")->ranges().size();
+        for (key_number piece = 1; piece < 9; ++piece)
+            site.assign({static_cast<key_number>(4 * piece), static_cast<key_number>(4 * piece + 1)},
+                        whole.owner.id);
+        REQUIRE(site.log.find("ledger")->ranges().size() == count + 16);
+        const auto highest = site.log.find("ledger")->find(33)->fence;
+        // Grants to the owner are not confirmed yet, then they are.
+        site.unanswered = {whole.owner.id};
+        run(10);
+        CHECK(site.manager.coalesced_ranges() == 0);
+        const auto pending = site.grants;
+        site.unanswered.clear();
+        for (const auto& grant : pending)
+            site.manager.on_order_completed(site.now, grant.id, order_status::done, {});
+        run(60);
+        CHECK(site.log.find("ledger")->ranges().size() == (many ? count : count + 16));
+        if (!many) {
+            const auto leaves = whole.owner.id == "t1" ? "t2" : "t1";
+            site.leaving = {std::string{leaves} + "@0"};
+            run(20);
+        }
+        const auto* coalesced = site.log.find("ledger")->find(33);
+        CHECK(coalesced->keys.first == 0);
+        CHECK(coalesced->keys.last >= whole.keys.last);
+        CHECK(coalesced->owner == whole.owner);
+        CHECK(coalesced->fence > highest);
+        CHECK(std::ranges::any_of(site.grants, [&](const grant_order& grant) {
+            return grant.keys == coalesced->keys && grant.fence >= coalesced->fence;
+        }));
+        CHECK(std::ranges::none_of(site.releases, [&](const release_order& release) {
+            return release.target.id == whole.owner.id;
+        }));
+    }
+}
+
 // Guards against keys that are given again and again to a registration at whose address another process
 // responds: with the keys that are taken back, the coordinator forgets why.
 TEST_CASE("a target at whose address another process responds gets no keys until it responds itself")
--- a/tests/support/ownership_simulation.cpp
+++ b/tests/support/ownership_simulation.cpp
@@ -8,6 +8,8 @@
 constexpr milliseconds step_duration{50};
 constexpr milliseconds network_delay{5};
 constexpr auto service = "ledger";
+/// Low, so that records are written only in order to coalesce ranges.
+constexpr std::size_t max_ranges = 48;
 
 } // namespace
 
@@ -345,7 +347,7 @@
         instance.position.reset();
         instance.manager = std::make_unique<range_manager>(
             coordinator_claim{"n" + std::to_string(instance.session), instance.session, "10.1.0.1:1"},
-            ownership_timing{}, random_duration(0, 500), guards_);
+            ownership_timing{.max_ranges = max_ranges}, random_duration(0, 500), guards_);
     }
     read_log(instance);
     if (faults_.coordinator_reports && now_ >= instance.next_report_at)
