Test crowds of clients against the memory of the machine

Clients that sent many large bodies at once, most of them unfinished, made instances run out of memory and end. No test covered this: front_framing_tests bounds single messages whose framing does not end.

--- a/tests/support/front_deployment.hpp
+++ b/tests/support/front_deployment.hpp
@@ -127,6 +127,8 @@
     std::map<std::string, Json::Value> bounds = {};
     /// Names of the data centres, over which the instances are distributed in turn.
     std::vector<std::string> data_centres = {"a", "b"};
+    /// Limits of the instances' machines that differ from those of `example_fields`, by name.
+    std::map<std::string, Json::Value> limits = {};
 };
 
 /// Data centres with instances, a store, and targets of one service.
@@ -148,7 +150,7 @@
             fronts.push_back(std::make_unique<front_process>(
                 folder_, static_cast<std::uint8_t>(first_front_host + index),
                 "front-" + data_centre + "-" + std::to_string(index / centres + 1), data_centre,
-                store.endpoint(index), fill_silent_listener(), options.bounds));
+                store.endpoint(index), fill_silent_listener(), options.bounds, options.limits));
         }
     }
     ~deployment()
--- a/tests/support/front_process.cpp
+++ b/tests/support/front_process.cpp
@@ -25,7 +25,8 @@
 front_process::front_process(std::filesystem::path folder, std::uint8_t host, std::string name,
                              const std::string& data_centre, const tcp_endpoint& store,
                              const tcp_endpoint& silent_endpoint,
-                             const std::map<std::string, Json::Value>& bounds)
+                             const std::map<std::string, Json::Value>& bounds,
+                             const std::map<std::string, Json::Value>& limits)
     : folder_(std::move(folder)), name_(std::move(name)), callers_(fixed_endpoint(host, 1)),
       readiness_(fixed_endpoint(host, 2)), peers_(fixed_endpoint(host, 3)), silent_endpoint_(silent_endpoint)
 {
@@ -40,6 +41,8 @@
     fields["provider"]["address"] = text_of(store);
     for (const auto& [name, bound] : bounds)
         fields["bounds"][name] = bound;
+    for (const auto& [name, limit] : limits)
+        fields["limits"][name] = limit;
     std::ofstream(folder_ / (name_ + ".ini")) << render_settings(fields);
 }
 
@@ -121,6 +124,12 @@
     throw std::runtime_error("the process does not run");
 }
 
+std::size_t front_process::open_descriptors() const
+{
+    const std::filesystem::directory_iterator files("/proc/" + std::to_string(process_) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
 std::string front_process::output() const
 {
     const std::ifstream file(folder_ / (name_ + ".log"));
--- a/tests/support/front_process.hpp
+++ b/tests/support/front_process.hpp
@@ -25,9 +25,11 @@
     /// @param store endpoint of the store.
     /// @param silent_endpoint endpoint that leaves new connections without an answer.
     /// @param bounds bounds of the installation that differ from those of `example_fields`, by name.
+    /// @param limits limits of the machine that differ from those of `example_fields`, by name.
     front_process(std::filesystem::path folder, std::uint8_t host, std::string name,
                   const std::string& data_centre, const tcp_endpoint& store,
-                  const tcp_endpoint& silent_endpoint, const std::map<std::string, Json::Value>& bounds);
+                  const tcp_endpoint& silent_endpoint, const std::map<std::string, Json::Value>& bounds,
+                  const std::map<std::string, Json::Value>& limits = {});
     ~front_process();
     front_process(const front_process&) = delete;
     front_process& operator=(const front_process&) = delete;
@@ -58,6 +60,8 @@
     void reset_peak_memory() const;
     /// Returns the largest resident size of the process so far, in megabytes.
     [[nodiscard]] unsigned peak_memory_mb() const;
+    /// Returns the number of open descriptors of the process.
+    [[nodiscard]] std::size_t open_descriptors() const;
     /// Returns what the process has written so far, in all its runs.
     [[nodiscard]] std::string output() const;
 
