Give responses up whose status is none

A failing target sent a response with status 000.

message_reader accepts 200 to 599, and 100, 102 and 103 as interim responses, for all readers of responses: targets, probes, replies to orders, other instances and the store. Anything else is an unknown outcome with the status as its reason, and the connection is closed. The client for orders, instances and the store skips interim responses now; it took them for the response.

--- a/include/teaseltally/net/message_framing.hpp
+++ b/include/teaseltally/net/message_framing.hpp
@@ -1,8 +1,12 @@
 #pragma once
 
+#include <teaseltally/net/framing_budget.hpp>
+
 #include <boost/beast/http/fields.hpp>
 
+#include <algorithm>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <type_traits>
 #include <utility>
@@ -21,6 +25,34 @@
 [[nodiscard]] std::optional<std::string_view> find_framing_error(const boost::beast::http::fields& fields,
                                                                  unsigned version);
 
+/// Returns whether a status is that of an interim response, which the response to the request follows. 101 is
+/// none: no request asks to switch protocols.
+[[nodiscard]] constexpr bool is_interim_status(unsigned status) noexcept
+{
+    return status == 100 || status == 102 || status == 103;
+}
+
+/// Returns whether a status is one that a response may have.
+[[nodiscard]] constexpr bool is_response_status(unsigned status) noexcept
+{
+    return is_interim_status(status) || (status >= 200 && status <= 599);
+}
+
+/// Maximum number of interim responses before the response to a request.
+inline constexpr int max_interim_responses = 8;
+
+/// Returns why a response was given up.
+/// @param status status of the response; 0 if it was not read.
+[[nodiscard]] inline std::string describe_response_failure(const boost::system::error_code& failed,
+                                                           unsigned status)
+{
+    if (failed != boost::beast::http::error::bad_status)
+        return describe_read_failure(failed);
+    constexpr std::size_t digits = 3;
+    const auto text = std::to_string(status);
+    return "invalid status " + std::string(digits - std::min(text.size(), digits), '0') + text;
+}
+
 /// Keeps the trailer fields of a chunked message out of its header, to which Beast's parser adds them.
 ///
 /// @code
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -199,15 +199,25 @@
     if (write_failed)
         co_return make_failure(true, write_failed);
     beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(limits_.max_body_bytes);
+    std::optional<http::response_parser<http::string_body>> reading;
     const auto alive = alive_;
-    if (const auto ec = co_await read_response(*stream, buffer, parser, limits, *alive ? memory_ : nullptr,
-                                               memory.response);
-        ec) {
+    error_code ec;
+    int responses = 0;
+    do {
+        reading.emplace();
+        reading->body_limit(limits_.max_body_bytes);
+        ec = co_await read_response(*stream, buffer, *reading, limits, *alive ? memory_ : nullptr,
+                                    memory.response);
+    } while (!ec && is_interim_status(reading->get().result_int()) && ++responses <= max_interim_responses);
+    auto& parser = *reading;
+    if (!ec && is_interim_status(parser.get().result_int()))
+        co_return http_failure{true, false, "too many interim responses"};
+    if (ec) {
         if (is_framing_excess(ec) && *alive && rejected_)
             rejected_(endpoint, ec);
-        co_return make_failure(true, ec);
+        auto failed = make_failure(true, ec);
+        failed.message = describe_response_failure(ec, parser.get().result_int());
+        co_return failed;
     }
     if (!parser.get().has_content_length() && !parser.get().chunked() && parser.get().need_eof())
         co_return http_failure{true, false, "response has neither content-length nor chunked encoding"};
--- a/src/net/message_reader.cpp
+++ b/src/net/message_reader.cpp
@@ -1,3 +1,4 @@
+#include <teaseltally/net/message_framing.hpp>
 #include <teaseltally/net/message_reader.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -135,6 +136,9 @@
         if (failed)
             co_return failed;
     }
+    if constexpr (!IsRequest)
+        if (!is_response_status(parser_.get().result_int()))
+            co_return http::error::bad_status;
     header_bytes_ = budget_.read_bytes() - std::min(budget_.read_bytes(), buffer_.size());
     co_return boost::system::error_code{};
 }
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -28,8 +28,6 @@
 constexpr milliseconds early_response_timeout{100};
 /// Maximum size of a response body.
 constexpr std::size_t max_response_bytes = 16U << 20U;
-/// Maximum number of interim responses (1xx) before the response to a request.
-constexpr int max_interim_responses = 8;
 /// Maximum number of responses to other requests that one exchange skips; after one more, it fails.
 constexpr int max_mismatched_responses = 4;
 
@@ -90,13 +88,13 @@
                 result.stale_connection =
                     connection_.reused && !received_bytes_ && failed != beast::error::timeout;
                 result.failure = failure_of(failed);
-                result.reason = describe_read_failure(failed);
+                result.reason = describe_response_failure(failed, parser.get().result_int());
                 co_return;
             }
             const bool self_delimited = !parser.get().need_eof();
             const bool keep_alive = parser.keep_alive();
             result.response = parser.release();
-            if (result.response.result_int() < 200) {
+            if (is_interim_status(result.response.result_int())) {
                 ++interim;
                 continue;
             }
