--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -228,14 +228,15 @@
 // are.
 TEST_CASE("only routes of the kinds safe and download are idempotent")
 {
-    for (const auto& [kind, semantics] : {std::pair{"download", execution_semantics::idempotent},
+    for (const auto& [name, semantics] : {std::pair{"download", execution_semantics::idempotent},
                                           {"safe", execution_semantics::idempotent},
                                           {"upload", execution_semantics::at_most_once},
                                           {"downloads", execution_semantics::at_most_once},
                                           {"", execution_semantics::at_most_once}}) {
-        CAPTURE(std::string{kind});
-        const auto decoded = decode_configuration(
-            replace_text(valid_configuration, R"("safe")", "\"" + std::string{kind} + "\""));
+        const std::string kind = name;
+        CAPTURE(kind);
+        const auto decoded =
+            decode_configuration(replace_text(valid_configuration, R"("safe")", "\"" + kind + "\""));
         REQUIRE(failure(decoded) == nullptr);
         CHECK(std::get<routing_configuration>(decoded).routes[0].semantics == semantics);
     }
