--- a/include/teaseltally/net/caller_server.hpp
+++ b/include/teaseltally/net/caller_server.hpp
@@ -29,6 +29,9 @@
     caller_server(caller_server&&) = delete;
     caller_server& operator=(caller_server&&) = delete;
 
+    /// Sets the time by which a body must have been received, counted from the end of its header. Without it,
+    /// the idle timeout of the routing configuration applies.
+    void set_body_timeout(milliseconds timeout);
     /// Sets a function that is called for each request that is refused because of its framing.
     void set_rejection_observer(rejection_observer observer);
     /// Returns the address and port that the server listens on.
--- a/include/teaseltally/net/http.hpp
+++ b/include/teaseltally/net/http.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <teaseltally/net/message_memory.hpp>
 #include <teaseltally/net/rejection_log.hpp>
 #include <teaseltally/result.hpp>
 #include <teaseltally/types.hpp>
@@ -16,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -100,6 +102,18 @@
     std::function<bool(const http_response&)> may_reuse_after;
 };
 
+/// Time after which a request that was refused for lack of memory may be sent again: unfinished messages have
+/// made room by then.
+inline constexpr milliseconds memory_retry_after{1000};
+
+/// Memory of the messages of an exchange.
+struct exchange_memory {
+    /// Body to send instead of the request's own; outlives the exchange.
+    std::optional<std::span<const char>> body;
+    /// Receives the memory of the response; null if it is not counted after the exchange.
+    memory_reservation* response = nullptr;
+};
+
 /// HTTP client with a pool of persistent connections. Each connection carries one request at a time. It
 /// returns to the pool only after a complete response, so that a late response is never taken for the
 /// response to another request. A server that sends a response once more can still mislead it; see
@@ -125,10 +139,12 @@
     /// @param permit called immediately before the write; if it returns false, nothing is sent. An empty
     /// function permits the write.
     /// @param use restricts the reuse of connections.
+    /// @param memory memory of the messages.
     /// @returns the response, whatever its status, or the failure.
     [[nodiscard]] asio::awaitable<http_outcome> exchange(tcp_endpoint endpoint, http_request request,
                                                          exchange_limits limits, write_permit permit = {},
-                                                         connection_use use = {});
+                                                         connection_use use = {},
+                                                         exchange_memory memory = {});
 
     /// Connects to a server and closes the connection at once.
     /// @param deadline time by which the server must have accepted it.
@@ -137,6 +153,9 @@
                                                                      time_point deadline);
     /// Sets a function that is called for each response that is given up because of its framing.
     void set_rejection_observer(rejection_observer observer) { rejected_ = std::move(observer); }
+    /// Counts the responses that are read from now on.
+    /// @param memory account, which outlives the client.
+    void set_memory(message_memory& memory) { memory_ = &memory; }
     /// Returns the executor of the connections.
     [[nodiscard]] const asio::any_io_executor& executor() const noexcept { return executor_; }
 
@@ -154,6 +173,7 @@
     http_client_limits limits_;
     std::map<tcp_endpoint, endpoint_pool> pools_;
     rejection_observer rejected_;
+    message_memory* memory_ = nullptr;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
@@ -195,6 +215,11 @@
 
     /// Sets a function that is called for each request that is rejected because of its framing.
     void set_rejection_observer(rejection_observer observer);
+    /// Returns the response to a request that was not read because no memory is left.
+    using memory_refusal = std::function<http_response(const http_request& header)>;
+    /// Counts the messages from now on, and refuses requests for which there is no room.
+    /// @param memory account, which outlives the server and its connections.
+    void set_memory(message_memory& memory, memory_refusal refusal);
     /// Returns the address and port that the server listens on.
     [[nodiscard]] tcp_endpoint local_endpoint() const;
     /// Makes every further response close its connection, and after a grace period closes the listener and
--- a/include/teaseltally/net/request_relay.hpp
+++ b/include/teaseltally/net/request_relay.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,8 @@
     unsigned sends = 0;
     /// Number of these attempts that the target may have executed without a response.
     unsigned unknown_outcomes = 0;
+    /// Body to send instead of the message's own, so that it is not copied; outlives the exchange.
+    std::optional<std::span<const char>> body = std::nullopt;
 };
 
 /// What became of a relayed request.
@@ -67,6 +70,8 @@
     bool starting = false;
     /// Whether the other instance declined because its configuration has no route for this request.
     bool route_missing = false;
+    /// Memory of the response; null if it is not counted.
+    std::shared_ptr<memory_reservation> memory = nullptr;
 };
 
 /// Returns the message that carries a relayed request.
@@ -74,6 +79,9 @@
 /// Parses the message of a relayed request.
 /// @returns the request, or nothing if the message is malformed.
 [[nodiscard]] std::optional<relayed_request> decode_relayed_request(http_request message);
+/// Returns the response to a message that was not read because no memory is left.
+/// @param header header of the message. If it carries a relayed request, the response declines it.
+[[nodiscard]] http_response make_memory_refusal(const http_request& header);
 /// Returns the message that carries the result of a relayed request: its response with further headers.
 [[nodiscard]] http_response encode_relay_result(relay_result result);
 /// Parses the message of a result.
--- a/include/teaseltally/net/request_router.hpp
+++ b/include/teaseltally/net/request_router.hpp
@@ -90,6 +90,8 @@
 
     /// Request as received from the caller.
     http_request message;
+    /// Memory of the request.
+    memory_reservation memory;
     /// IP address of the caller.
     asio::ip::address caller;
     /// Time when the request was received.
@@ -154,6 +156,9 @@
     [[nodiscard]] bool is_relay_running() const { return relay && !relay->ended; }
     /// Returns whether the next attempt repeats one of this instance, so that it needs a retry token.
     [[nodiscard]] bool needs_retry_token() const { return sends > earlier_sends; }
+    /// Frees the body of the request unless an attempt may still send it, and the memory of the responses,
+    /// which is counted elsewhere from now on.
+    void release_memory();
     /// Closes the connections of attempts that have not ended.
     void cancel_attempts();
     /// Records that the caller has closed its connection, and wakes the coroutine.
@@ -169,7 +174,9 @@
     /// Creates a router that answers every request with status 503 until a configuration is applied.
     /// @param log writes one line for each request that fails, for every 64th that succeeds and for each
     /// attempt whose outcome is unknown.
-    request_router(asio::any_io_executor executor, router_settings settings, log_sink log);
+    /// @param memory account of messages, which outlives the router; null makes the router use its own.
+    request_router(asio::any_io_executor executor, router_settings settings, log_sink log,
+                   message_memory* memory = nullptr);
 
     /// Applies a routing configuration unless its version is lower than the current one or it is equal to it.
     /// A version that the store has lost may be published again with other content.
@@ -250,6 +257,8 @@
     {
         return unconfirmed_targets_;
     }
+    /// Returns the account of the memory for messages.
+    [[nodiscard]] message_memory& memory() noexcept { return memory_; }
     /// Wakes the requests that wait for the owner of their key.
     void on_ownership_changed();
     /// Sets the number of instances that share the limits on retries and connections; zero counts as one.
@@ -269,8 +278,6 @@
     [[nodiscard]] traffic_report extract_traffic();
 
 private:
-    /// Memory for responses that are being received; the smallest instances have 160 MB in all.
-    static constexpr std::size_t max_response_memory = 32U << 20U;
     /// Number of instances assumed until the actual number is known; high, so that the shared limits are not
     /// exceeded.
     static constexpr unsigned assumed_instance_count = 40;
@@ -376,8 +383,8 @@
     [[nodiscard]] asio::awaitable<void> run_attempt(std::shared_ptr<routed_request> request,
                                                     std::shared_ptr<routed_attempt> attempt,
                                                     std::unique_ptr<target_connection> connection);
-    [[nodiscard]] std::shared_ptr<const http_request> build_target_request(const routed_request& request,
-                                                                           const target_node& target) const;
+    [[nodiscard]] std::shared_ptr<const target_request> build_target_request(const routed_request& request,
+                                                                             const target_node& target) const;
     void record_speed_sample(const routed_attempt& attempt, microseconds service_time);
     void record_attempt_end(const routed_request& request, routed_attempt& attempt);
     /// Closes the idle connections to a target that has said that it is leaving, and tells other instances
@@ -445,7 +452,8 @@
     asio::any_io_executor executor_;
     router_settings settings_;
     log_sink log_;
-    response_memory response_memory_{max_response_memory};
+    message_memory own_memory_;
+    message_memory& memory_;
     std::shared_ptr<const route_table> table_;
     std::function<bool()> is_outdated_;
     target_statement_table statements_;
--- a/include/teaseltally/net/target_node.hpp
+++ b/include/teaseltally/net/target_node.hpp
@@ -7,8 +7,10 @@
 #include <teaseltally/knowledge/target_directory.hpp>
 #include <teaseltally/net/header_names.hpp>
 #include <teaseltally/net/http.hpp>
+#include <teaseltally/net/message_memory.hpp>
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 #include <algorithm>
 #include <cstdint>
@@ -37,28 +39,8 @@
     bool reused = false;
 };
 
-/// Memory for responses of targets that are being received, over all targets.
-class response_memory {
-public:
-    /// @param max_bytes maximum number of bytes held at the same time.
-    explicit response_memory(std::size_t max_bytes) : max_bytes_(max_bytes) {}
-
-    /// Changes the number of bytes that one response holds.
-    /// @returns false if the maximum would be exceeded; then nothing changes.
-    [[nodiscard]] bool try_resize(std::size_t from, std::size_t to) noexcept
-    {
-        if (to > from && bytes_ + (to - from) > max_bytes_)
-            return false;
-        bytes_ += to - from;
-        return true;
-    }
-    /// Returns the number of bytes held.
-    [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
-
-private:
-    std::size_t max_bytes_;
-    std::size_t bytes_ = 0;
-};
+/// Request to a target: a header of its own, and a view of a body that it does not own.
+using target_request = boost::beast::http::request<boost::beast::http::span_body<const char>>;
 
 /// Target as known to one instance: its registration, its load and its connections. Not thread-safe.
 class target_node {
@@ -191,6 +173,8 @@
     exchange_status status = exchange_status::outcome_unknown;
     /// Last response that was read; complete if `status` is `answered`.
     http_response response;
+    /// Memory of the response.
+    memory_reservation memory;
     /// Whether a connection to the target was established.
     bool connected = false;
     /// How the connection failed.
@@ -209,16 +193,17 @@
 /// Sends a request to a target and reads the response. The connection is released to the node or discarded. A
 /// response is accepted only if it repeats the identifier of the request.
 /// @param node target of the request; the exchange keeps it alive.
-/// @param request request as it is sent to the target.
+/// @param request request as it is sent to the target; its body outlives the exchange.
 /// @param headers names of the headers; they outlive the exchange.
 /// @param connection connection that was acquired from `node`. Its socket may be closed to cancel the
 /// exchange.
 /// @param deadline time at which the exchange is abandoned.
-/// @param memory memory for the response; it outlives the exchange, which fails when the memory is used up.
+/// @param memory account of the response, which waits or is given up when there is no room; it outlives the
+/// result.
 /// @returns the outcome; errors are reported in it.
 [[nodiscard]] asio::awaitable<exchange_result>
-exchange_with_target(std::shared_ptr<target_node> node, std::shared_ptr<const http_request> request,
+exchange_with_target(std::shared_ptr<target_node> node, std::shared_ptr<const target_request> request,
                      const header_names& headers, std::unique_ptr<target_connection> connection,
-                     time_point deadline, response_memory& memory);
+                     time_point deadline, message_memory& memory);
 
 } // namespace teaseltally
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -40,6 +40,8 @@
         return 413;
     if (is_framing_excess(ec))
         return 431;
+    if (ec == message_memory_error)
+        return 503;
     if (ec == beast::error::timeout)
         return 408;
     return 400;
@@ -50,7 +52,7 @@
 {
     if (ec == http::error::end_of_stream || ec == http::error::partial_message)
         return false;
-    return ec == beast::error::timeout ||
+    return ec == beast::error::timeout || ec == message_memory_error ||
            ec.category() == http::make_error_code(http::error::bad_value).category();
 }
 
@@ -104,6 +106,7 @@
     request_router& router;
     rejection_observer rejected;
     std::set<connection*> idle;
+    std::optional<milliseconds> body_timeout;
     std::size_t open_connections = 0;
     std::size_t active_requests = 0;
     bool draining = false;
@@ -118,7 +121,8 @@
     void accept_waiting();
     asio::awaitable<void> serve(std::shared_ptr<connection> caller);
     asio::awaitable<error_code> wait_for_request(connection& caller);
-    asio::awaitable<error_code> read_request(connection& caller, request_parser& parser);
+    asio::awaitable<error_code> read_request(connection& caller, request_parser& parser,
+                                             memory_reservation& held);
     asio::awaitable<bool> write_response(connection& caller, http_response response, unsigned version,
                                          bool keep_alive, bool is_head);
     asio::awaitable<void> refuse(connection& caller, error_code ec);
@@ -181,10 +185,11 @@
 }
 
 asio::awaitable<error_code> caller_server::shared_state::read_request(connection& caller,
-                                                                      request_parser& parser)
+                                                                      request_parser& parser,
+                                                                      memory_reservation& held)
 {
     framing_budget budget(limits().header_bytes, caller.buffer.size());
-    message_reader<true> reader(caller.stream, caller.buffer, parser, budget);
+    message_reader<true> reader(caller.stream, caller.buffer, parser, budget, &router.memory());
     caller.stream.expires_after(limits().header_timeout);
     if (const auto header_ec = co_await reader.read_header())
         co_return header_ec;
@@ -197,13 +202,17 @@
         if (write_ec)
             co_return write_ec;
     }
-    if (parser.is_done())
-        co_return error_code{};
-    trailer_filter filter(parser);
-    caller.stream.expires_after(limits().idle_timeout);
-    const auto ec = co_await reader.read_rest();
-    filter.remove_trailers();
-    co_return ec;
+    if (!parser.is_done()) {
+        trailer_filter filter(parser);
+        caller.stream.expires_after(body_timeout.value_or(limits().idle_timeout));
+        if (const auto ec = co_await reader.read_rest())
+            co_return ec;
+        filter.remove_trailers();
+        shrink_large_buffer(caller.buffer);
+    }
+    held = reader.release_memory();
+    held.set_purpose(memory_purpose::serving_requests);
+    co_return error_code{};
 }
 
 asio::awaitable<bool> caller_server::shared_state::write_response(connection& caller, http_response response,
@@ -220,6 +229,8 @@
     else
         response.body().clear();
     caller.stream.expires_after(write_timeout);
+    message_hold hold(&router.memory(), memory_purpose::writing_responses, [&] { caller.stream.cancel(); });
+    hold.set(occupied_bytes(response.body().size(), response.body().capacity()), boot_clock::now());
     http::response_serializer<http::string_body> serializer{response};
     if (is_head) {
         const auto [ec, written] = co_await http::async_write_header(caller.stream, serializer, as_result);
@@ -235,7 +246,11 @@
         error_code ignored;
         rejected(caller.stream.socket().remote_endpoint(ignored), ec);
     }
-    auto response = make_response(status_for(ec), describe_read_failure(ec) + "\n");
+    const bool has_no_memory = ec == message_memory_error;
+    auto response = make_response(status_for(ec), has_no_memory ? "no memory is left for the request\n"
+                                                                : describe_read_failure(ec) + "\n");
+    if (has_no_memory)
+        response.set(http::field::retry_after, format_seconds(memory_retry_after));
     co_await write_response(caller, std::move(response), 11, false, false);
     error_code ignored;
     caller.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -256,11 +271,16 @@
     if (co_await wait_for_request(*caller))
         co_return false;
     const count_guard request_count(active_requests);
-    request_parser parser;
+    std::optional<request_parser> reading(std::in_place);
+    auto& parser = *reading;
+    memory_reservation held;
     const auto request_limits = limits();
     parser.header_limit(static_cast<std::uint32_t>(request_limits.header_bytes));
     parser.body_limit(request_limits.body_bytes);
-    if (const auto ec = co_await read_request(*caller, parser)) {
+    if (const auto ec = co_await read_request(*caller, parser, held)) {
+        // The bytes read so far are not kept while the rest is discarded.
+        reading.reset();
+        caller->buffer = {};
         if (is_caller_error(ec))
             co_await refuse(*caller, ec);
         co_return false;
@@ -282,6 +302,7 @@
     const auto caller_address = caller->stream.socket().remote_endpoint(address_ec).address();
     auto request =
         std::make_shared<routed_request>(executor, parser.release(), caller_address, boot_clock::now());
+    request->memory = std::move(held);
     std::optional<http_response> response;
     {
         std::optional<disconnect_monitor> monitor;
@@ -291,6 +312,7 @@
     }
     if (!response)
         co_return false;
+    request->release_memory();
     const bool keep_alive = keep_alive_requested && !draining;
     co_return co_await write_response(*caller, std::move(*response), version, keep_alive, is_head);
 }
@@ -317,6 +339,11 @@
     close_idle();
 }
 
+void caller_server::set_body_timeout(milliseconds timeout)
+{
+    state_->body_timeout = timeout;
+}
+
 void caller_server::set_rejection_observer(rejection_observer observer)
 {
     state_->rejected = std::move(observer);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -11,11 +11,13 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <array>
 #include <charconv>
 #include <sys/socket.h>
+#include <tuple>
 
 namespace teaseltally {
 namespace {
@@ -139,11 +141,12 @@
 /// the body itself goes on.
 asio::awaitable<error_code> read_response(beast::tcp_stream& stream, beast::flat_buffer& buffer,
                                           http::response_parser<http::string_body>& parser,
-                                          exchange_limits limits)
+                                          exchange_limits limits, message_memory* memory,
+                                          memory_reservation* held)
 {
     parser.header_limit(max_response_header_bytes);
     framing_budget budget(max_response_header_bytes);
-    message_reader<false> reader(stream, buffer, parser, budget);
+    message_reader<false> reader(stream, buffer, parser, budget, memory, memory_purpose::reading_responses);
     if (const auto ec = co_await reader.read_header())
         co_return ec;
     if (find_framing_error(parser.get(), parser.get().version()))
@@ -157,6 +160,8 @@
             co_return ec;
     }
     filter.remove_trailers();
+    if (held != nullptr)
+        *held = reader.release_memory();
     co_return error_code{};
 }
 
@@ -164,7 +169,7 @@
 
 asio::awaitable<http_outcome> http_client::exchange(tcp_endpoint endpoint, http_request request,
                                                     exchange_limits limits, write_permit permit,
-                                                    connection_use use)
+                                                    connection_use use, exchange_memory memory)
 {
     pooled_connection connection(*this, endpoint, use.new_connection);
     auto* stream = connection.stream();
@@ -178,16 +183,28 @@
             co_return make_failure(false, ec);
         configure_client_socket(stream->socket());
     }
-    request.prepare_payload();
     if (permit && !permit())
         co_return http_failure{false, false, "write permit denied"};
-    if (const auto [ec, written] = co_await http::async_write(*stream, request, as_result); ec)
-        co_return make_failure(true, ec);
+    error_code write_failed;
+    if (memory.body) {
+        http::request<http::span_body<const char>> viewed{std::move(request.base())};
+        viewed.body() = {memory.body->data(), memory.body->size()};
+        viewed.prepare_payload();
+        std::tie(write_failed, std::ignore) = co_await http::async_write(*stream, viewed, as_result);
+    }
+    else {
+        request.prepare_payload();
+        std::tie(write_failed, std::ignore) = co_await http::async_write(*stream, request, as_result);
+    }
+    if (write_failed)
+        co_return make_failure(true, write_failed);
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(limits_.max_body_bytes);
     const auto alive = alive_;
-    if (const auto ec = co_await read_response(*stream, buffer, parser, limits); ec) {
+    if (const auto ec = co_await read_response(*stream, buffer, parser, limits, *alive ? memory_ : nullptr,
+                                               memory.response);
+        ec) {
         if (is_framing_excess(ec) && *alive && rejected_)
             rejected_(endpoint, ec);
         co_return make_failure(true, ec);
@@ -229,6 +246,8 @@
     http_server_limits limits;
     handler request_handler;
     rejection_observer rejected;
+    message_memory* memory = nullptr;
+    memory_refusal refusal;
     std::set<beast::tcp_stream*> idle;
     std::size_t open_connections = 0;
     std::size_t active_requests = 0;
@@ -240,8 +259,8 @@
     void close();
     using request_parser = http::request_parser<http::string_body>;
     asio::awaitable<error_code> read_request(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                             request_parser& parser);
-    asio::awaitable<void> reject(beast::tcp_stream& stream, error_code ec);
+                                             request_parser& parser, memory_reservation& held);
+    asio::awaitable<void> reject(beast::tcp_stream& stream, error_code ec, http_response response);
     asio::awaitable<void> serve(beast::tcp_stream stream);
 };
 
@@ -312,7 +331,8 @@
 /// time-out.
 asio::awaitable<error_code> http_server::shared_state::read_request(beast::tcp_stream& stream,
                                                                     beast::flat_buffer& buffer,
-                                                                    request_parser& parser)
+                                                                    request_parser& parser,
+                                                                    memory_reservation& held)
 {
     if (buffer.size() == 0) {
         idle.insert(&stream);
@@ -324,7 +344,7 @@
         buffer.commit(count);
     }
     framing_budget budget(limits.max_header_bytes, buffer.size());
-    message_reader<true> reader(stream, buffer, parser, budget);
+    message_reader<true> reader(stream, buffer, parser, budget, memory, memory_purpose::relayed_requests);
     stream.expires_after(limits.read_timeout);
     if (const auto ec = co_await reader.read_header())
         co_return ec;
@@ -335,19 +355,22 @@
     trailer_filter filter(parser);
     const auto ec = co_await reader.read_rest();
     filter.remove_trailers();
+    shrink_large_buffer(buffer);
+    if (!ec)
+        held = reader.release_memory();
     co_return ec;
 }
 
-/// Responds with status 413 or 431 and discards bytes of the request for a while. Closing the connection with
-/// unread bytes would reset it before the client has read the response.
-asio::awaitable<void> http_server::shared_state::reject(beast::tcp_stream& stream, error_code ec)
+/// Responds with status 413, 431 or 503 and discards bytes of the request for a while. Closing the connection
+/// with unread bytes would reset it before the client has read the response.
+asio::awaitable<void> http_server::shared_state::reject(beast::tcp_stream& stream, error_code ec,
+                                                        http_response response)
 {
     const bool has_large_body = ec == http::error::body_limit;
-    if (!has_large_body && rejected) {
+    if (is_framing_excess(ec) && rejected) {
         error_code ignored;
         rejected(stream.socket().remote_endpoint(ignored), ec);
     }
-    auto response = make_rejection(has_large_body);
     stream.expires_after(limits.write_timeout);
     co_await http::async_write(stream, response, as_result);
     error_code ignored;
@@ -371,12 +394,22 @@
     beast::flat_buffer buffer;
     bool open = true;
     while (open && !closed) {
-        http::request_parser<http::string_body> parser;
+        std::optional<request_parser> reading(std::in_place);
+        auto& parser = *reading;
         parser.header_limit(limits.max_header_bytes);
         parser.body_limit(limits.max_body_bytes);
-        const auto ec = co_await read_request(stream, buffer, parser);
-        if (ec == http::error::body_limit || is_framing_excess(ec)) {
-            co_await reject(stream, ec);
+        memory_reservation held;
+        const auto ec = co_await read_request(stream, buffer, parser, held);
+        if (ec == http::error::body_limit || is_framing_excess(ec) || ec == message_memory_error) {
+            auto response = ec == message_memory_error && refusal
+                                ? refusal(parser.get())
+                                : make_rejection(ec == http::error::body_limit);
+            response.keep_alive(false);
+            response.prepare_payload();
+            // The bytes read so far are not kept while the rest is discarded.
+            reading.reset();
+            buffer = {};
+            co_await reject(stream, ec, std::move(response));
             break;
         }
         if (ec)
@@ -398,6 +431,8 @@
         response.keep_alive(open);
         response.prepare_payload();
         stream.expires_after(limits.write_timeout);
+        memory_reservation written_memory(memory, memory_purpose::writing_responses);
+        written_memory.set(response.body().capacity());
         if (const auto [write_ec, written] = co_await http::async_write(stream, response, as_result);
             write_ec)
             break;
@@ -419,6 +454,12 @@
     state_->close();
 }
 
+void http_server::set_memory(message_memory& memory, memory_refusal refusal)
+{
+    state_->memory = &memory;
+    state_->refusal = std::move(refusal);
+}
+
 void http_server::set_rejection_observer(rejection_observer observer)
 {
     state_->rejected = std::move(observer);
--- a/src/net/message_reader.cpp
+++ b/src/net/message_reader.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <bit>
 #include <stdexcept>
 
 namespace teaseltally {
@@ -14,9 +15,69 @@
 constexpr auto as_result = boost::asio::as_tuple(boost::asio::use_awaitable);
 constexpr std::size_t min_read_bytes = 512;
 constexpr std::size_t max_read_bytes = 64U << 10U;
+/// Interval at which a message that waits for memory makes others give way.
+constexpr milliseconds memory_check_interval{50};
 
 } // namespace
 
+template <bool IsRequest>
+void message_reader<IsRequest>::on_memory()
+{
+    if (waiting_ != nullptr)
+        waiting_->notify();
+    else if (hold_.is_evicted())
+        stream_.cancel();
+}
+
+template <bool IsRequest>
+bool message_reader<IsRequest>::try_reserve(std::size_t bytes)
+{
+    auto& body = parser_.get().body();
+    if (parser_.is_header_done())
+        if (const auto remaining = parser_.content_length_remaining())
+            bytes = std::min<std::uint64_t>(bytes, *remaining);
+    const auto size = body.size() + bytes;
+    const auto counted =
+        occupied_bytes(size, std::max(size, body.capacity())) + buffer_.capacity() + header_bytes_;
+    // Most messages are small, and their strings may grow by themselves.
+    if (counted <= message_memory::small_bytes)
+        return hold_.try_set(counted, 0, {});
+    if (hold_.memory() == nullptr)
+        return true;
+    const bool grows = parser_.is_header_done() && size > body.capacity();
+    if (!hold_.try_set(counted, grows ? body.size() : 0, boot_clock::now()))
+        return false;
+    if (grows) {
+        // A limit that is a power of two is reached without a further copy. The string's own reserve would
+        // at least double its capacity.
+        std::string larger;
+        larger.reserve(std::bit_ceil(size) + max_read_bytes);
+        larger.append(body);
+        body.swap(larger);
+    }
+    return true;
+}
+
+template <bool IsRequest>
+typename message_reader<IsRequest>::result message_reader<IsRequest>::wait_for_memory(std::size_t bytes)
+{
+    notifier wake(stream_.get_executor());
+    waiting_ = &wake;
+    while (!hold_.is_evicted() && !try_reserve(bytes)) {
+        static_cast<void>(co_await wake.wait_until(boot_clock::now() + memory_check_interval));
+        hold_.memory()->make_room(boot_clock::now());
+    }
+    waiting_ = nullptr;
+    co_return hold_.is_evicted() ? message_memory_error : boost::system::error_code{};
+}
+
+template <bool IsRequest>
+memory_reservation message_reader<IsRequest>::release_memory()
+{
+    const auto& body = parser_.get().body();
+    return hold_.release(occupied_bytes(body.size(), body.capacity()) + header_bytes_);
+}
+
 template <bool IsRequest>
 typename message_reader<IsRequest>::result message_reader<IsRequest>::read_bytes()
 {
@@ -27,9 +88,17 @@
     buffer_.max_size(limit);
     const auto size =
         std::min({std::max(min_read_bytes, buffer_.capacity() - held), max_read_bytes, limit - held});
+    if (!try_reserve(held + size))
+        if (const auto no_memory = co_await wait_for_memory(held + size))
+            co_return no_memory;
     const auto [failed, count] = co_await stream_.async_read_some(buffer_.prepare(size), as_result);
     buffer_.commit(count);
     budget_.on_read(count);
+    if (hold_.is_large()) {
+        hold_.on_progress(boot_clock::now());
+        if (hold_.is_evicted())
+            co_return message_memory_error;
+    }
     if (failed != boost::asio::error::eof)
         co_return failed;
     if (!parser_.got_some())
@@ -66,6 +135,7 @@
         if (failed)
             co_return failed;
     }
+    header_bytes_ = budget_.read_bytes() - std::min(budget_.read_bytes(), buffer_.size());
     co_return boost::system::error_code{};
 }
 
--- a/src/net/request_attempts.cpp
+++ b/src/net/request_attempts.cpp
@@ -52,13 +52,13 @@
 
 } // namespace
 
-std::shared_ptr<const http_request> request_router::build_target_request(const routed_request& request,
-                                                                         const target_node& target) const
+std::shared_ptr<const target_request> request_router::build_target_request(const routed_request& request,
+                                                                           const target_node& target) const
 {
-    auto target_request = std::make_shared<http_request>();
-    target_request->version(11);
-    target_request->method_string(request.message.method_string());
-    target_request->target(request.message.target());
+    auto message = std::make_shared<target_request>();
+    message->version(11);
+    message->method_string(request.message.method_string());
+    message->target(request.message.target());
     const auto connection_tokens = request.message[http::field::connection];
     for (const auto& field : request.message) {
         if (is_hop_by_hop(field) || http::token_list{connection_tokens}.exists(field.name_string()))
@@ -67,17 +67,17 @@
         if (boost::beast::iequals(name, settings_.headers.deadline_ms) ||
             boost::beast::iequals(name, settings_.headers.expected_target))
             continue;
-        target_request->insert(field.name(), name, field.value());
+        message->insert(field.name(), name, field.value());
     }
     const auto remaining = std::chrono::duration_cast<milliseconds>(request.deadline - boot_clock::now());
-    target_request->set(settings_.headers.deadline_ms,
-                        std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
-    target_request->set(settings_.headers.expected_target, target.entry().id);
-    target_request->body() = request.message.body();
+    message->set(settings_.headers.deadline_ms, std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
+    message->set(settings_.headers.expected_target, target.entry().id);
+    const auto& body = request.message.body();
+    message->body() = {body.data(), body.size()};
     const bool has_body = request.message.has_content_length() || request.message.chunked();
-    if (has_body || !target_request->body().empty())
-        target_request->content_length(target_request->body().size());
-    return target_request;
+    if (has_body || !body.empty())
+        message->content_length(body.size());
+    return message;
 }
 
 void request_router::start_attempt(const std::shared_ptr<routed_request>& request,
@@ -105,9 +105,8 @@
                                                   std::unique_ptr<target_connection> connection)
 {
     const auto message = build_target_request(*request, *attempt->target);
-    attempt->result =
-        co_await exchange_with_target(attempt->target, message, settings_.headers, std::move(connection),
-                                      request->deadline, response_memory_);
+    attempt->result = co_await exchange_with_target(attempt->target, message, settings_.headers,
+                                                    std::move(connection), request->deadline, memory_);
     attempt->stream = nullptr;
     attempt->ended = true;
     attempt->ended_at = boot_clock::now();
--- a/src/net/request_links.cpp
+++ b/src/net/request_links.cpp
@@ -153,8 +153,13 @@
     // The targets of these attempts may execute the request, whatever becomes of it elsewhere.
     const auto running = static_cast<unsigned>(
         std::ranges::count_if(request->attempts, [](const auto& earlier) { return !earlier->ended; }));
-    relayed_request relayed{request->message, request->caller, request->service, request->sends,
-                            request->unknown_outcomes + running};
+    const auto& body = request->message.body();
+    relayed_request relayed{http_request{request->message.base()},
+                            request->caller,
+                            request->service,
+                            request->sends,
+                            request->unknown_outcomes + running,
+                            std::span<const char>{body}};
     relayed.message.set(settings_.headers.deadline_ms,
                         std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
     auto result = co_await relay_->send(std::move(to), std::move(relayed), request->deadline);
--- a/src/net/request_relay.cpp
+++ b/src/net/request_relay.cpp
@@ -107,6 +107,19 @@
     return request;
 }
 
+http_response make_memory_refusal(const http_request& header)
+{
+    auto response = make_response(503, "no memory is left for the request\n");
+    response.set(http::field::retry_after, format_seconds(memory_retry_after));
+    if (text_of(header.target()) != relay_path)
+        return response;
+    relay_result result;
+    result.response = std::move(response);
+    result.sends = parse_count(header[sends_header]).value_or(0);
+    result.unknown_outcomes = parse_count(header[unknown_outcomes_header]).value_or(0);
+    return encode_relay_result(std::move(result));
+}
+
 http_response encode_relay_result(relay_result result)
 {
     auto message = std::move(result.response);
@@ -284,13 +297,17 @@
     std::optional<http_failure> failed;
     if (const auto endpoint = parse_endpoint(to.address); failure(endpoint) == nullptr) {
         auto message = encode_relayed_request(request);
-        auto outcome =
-            co_await client_.exchange(std::get<tcp_endpoint>(endpoint), std::move(message), deadline);
+        result.memory = std::make_shared<memory_reservation>();
+        auto outcome = co_await client_.exchange(std::get<tcp_endpoint>(endpoint), std::move(message),
+                                                 deadline, {}, {}, {request.body, result.memory.get()});
         const auto cancellation = co_await asio::this_coro::cancellation_state;
         if (cancellation.cancelled() != asio::cancellation_type::none)
             co_return result;
-        if (auto* response = std::get_if<http_response>(&outcome))
+        if (auto* response = std::get_if<http_response>(&outcome)) {
+            auto memory = std::move(result.memory);
             result = decode_relay_result(std::move(*response));
+            result.memory = std::move(memory);
+        }
         else
             failed = std::get<http_failure>(outcome);
         if (failed && failed->sent)
--- a/src/net/request_router.cpp
+++ b/src/net/request_router.cpp
@@ -113,14 +113,29 @@
         }
 }
 
+void routed_request::release_memory()
+{
+    if (!has_running_attempt() && !is_relay_running()) {
+        std::string().swap(message.body());
+        memory.set(0);
+    }
+    for (const auto& attempt : attempts)
+        if (attempt->ended)
+            attempt->result.memory.set(0);
+    if (relay && relay->ended && relay->result.memory)
+        relay->result.memory->set(0);
+}
+
 void routed_request::on_caller_disconnected()
 {
     caller_disconnected = true;
     wake.notify();
 }
 
-request_router::request_router(asio::any_io_executor executor, router_settings settings, log_sink log)
-    : executor_(std::move(executor)), settings_(std::move(settings)), log_(std::move(log))
+request_router::request_router(asio::any_io_executor executor, router_settings settings, log_sink log,
+                               message_memory* memory)
+    : executor_(std::move(executor)), settings_(std::move(settings)), log_(std::move(log)),
+      memory_(memory != nullptr ? *memory : own_memory_)
 {
 }
 
@@ -139,6 +154,7 @@
 {
     if (table_ && (configured.version < table_->configured().version || configured == table_->configured()))
         return false;
+    memory_.set_largest_message(configured.limits.body_bytes);
     table_ = std::make_shared<const route_table>(std::move(configured));
     return true;
 }
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -68,36 +68,11 @@
     return lost ? connection_failure::lost : connection_failure::none;
 }
 
-/// Memory that one response holds until it has been received.
-class response_memory_guard {
-public:
-    explicit response_memory_guard(response_memory& memory) : memory_(memory) {}
-    ~response_memory_guard() { static_cast<void>(memory_.try_resize(bytes_, 0)); }
-    response_memory_guard(const response_memory_guard&) = delete;
-    response_memory_guard& operator=(const response_memory_guard&) = delete;
-    response_memory_guard(response_memory_guard&&) = delete;
-    response_memory_guard& operator=(response_memory_guard&&) = delete;
-
-    /// Sets the number of bytes that the response holds.
-    /// @returns false if the memory is used up.
-    [[nodiscard]] bool resize(std::size_t bytes)
-    {
-        if (!memory_.try_resize(bytes_, bytes))
-            return false;
-        bytes_ = bytes;
-        return true;
-    }
-
-private:
-    response_memory& memory_;
-    std::size_t bytes_ = 0;
-};
-
 /// Reads responses until one belongs to the request, or too many belong to other requests.
 class response_reader {
 public:
-    response_reader(target_connection& connection, const http_request& request, const header_names& headers,
-                    response_memory& memory)
+    response_reader(target_connection& connection, const target_request& request, const header_names& headers,
+                    message_memory& memory)
         : connection_(connection), request_id_(request[headers.request_id]), headers_(headers),
           memory_(memory), is_head_request_(request.method() == http::verb::head)
     {
@@ -110,7 +85,7 @@
         for (int mismatched = 0;
              mismatched <= max_mismatched_responses && interim <= max_interim_responses;) {
             http::response_parser<http::string_body> parser;
-            const auto failed = co_await read_one(parser, budget);
+            const auto failed = co_await read_one(parser, budget, result.memory);
             if (failed) {
                 result.stale_connection =
                     connection_.reused && !received_bytes_ && failed != beast::error::timeout;
@@ -146,10 +121,10 @@
 
 private:
     [[nodiscard]] asio::awaitable<error_code> read_one(http::response_parser<http::string_body>& parser,
-                                                       framing_budget& budget)
+                                                       framing_budget& budget, memory_reservation& held)
     {
-        message_reader<false> reader(connection_.stream, connection_.buffer, parser, budget);
-        response_memory_guard held(memory_);
+        message_reader<false> reader(connection_.stream, connection_.buffer, parser, budget, &memory_,
+                                     memory_purpose::reading_responses);
         parser.body_limit(max_response_bytes);
         parser.header_limit(max_response_header_bytes);
         parser.skip(is_head_request_);
@@ -160,13 +135,11 @@
         if (find_framing_error(parser.get(), parser.get().version()))
             co_return http::error::bad_transfer_encoding;
         trailer_filter filter(parser);
-        while (!parser.is_done()) {
-            if (const auto failed = co_await reader.read_some())
-                co_return failed;
-            if (!held.resize(parser.get().body().size()))
-                co_return make_error_code(boost::system::errc::not_enough_memory);
-        }
+        if (const auto failed = co_await reader.read_rest())
+            co_return failed;
         filter.remove_trailers();
+        shrink_large_buffer(connection_.buffer);
+        held = reader.release_memory();
         co_return error_code{};
     }
 
@@ -196,7 +169,7 @@
     target_connection& connection_;
     beast::string_view request_id_;
     const header_names& headers_;
-    response_memory& memory_;
+    message_memory& memory_;
     bool is_head_request_;
     bool received_bytes_ = false;
     bool reusable_ = false;
@@ -272,10 +245,10 @@
 }
 
 asio::awaitable<exchange_result> exchange_with_target(std::shared_ptr<target_node> node,
-                                                      std::shared_ptr<const http_request> request,
+                                                      std::shared_ptr<const target_request> request,
                                                       const header_names& headers,
                                                       std::unique_ptr<target_connection> connection,
-                                                      time_point deadline, response_memory& memory)
+                                                      time_point deadline, message_memory& memory)
 {
     exchange_result result;
     auto& stream = connection->stream;
@@ -304,7 +277,7 @@
         co_return result;
     }
     stream.expires_after(remaining_time(deadline));
-    http::request_serializer<http::string_body> serializer{*request};
+    http::request_serializer<http::span_body<const char>> serializer{*request};
     const auto [write_failed, written] = co_await http::async_write(stream, serializer, as_result);
     if (write_failed)
         stream.expires_after(early_response_timeout);
--- a/tests/front_crowd_tests.cpp
+++ b/tests/front_crowd_tests.cpp
@@ -212,3 +212,38 @@
     check_crowd({"GET /work/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: crowd\r\n\r\n"},
                 target_failure::endless_body);
 }
+
+// Guards against an account that refuses a legal request although nothing else needs memory.
+TEST_CASE("one request of the largest legal size is served by an instance with little memory")
+{
+    constexpr std::size_t large_bytes = std::size_t{64} << 20U;
+    constexpr unsigned small_memory_mb = 120;
+    deployment_options options{"safe", {}, 1, 1};
+    options.limits = {{"memory-mb", small_memory_mb}};
+    options.route_timeout = "20000ms";
+    deployment site(options);
+    site.change_configuration([](Json::Value& changed) {
+        changed["limits"]["max-body-bytes"] = large_bytes;
+        changed["limits"]["idle-timeout"] = "60000ms";
+    });
+    auto chunked = chunked_parts(large_bytes, chunk_bytes);
+    chunked.push_back("0\r\n\r\n");
+    run(site.io, [&]() -> asio::awaitable<void> {
+        co_await site.start();
+        for (const auto& parts : {length_parts(large_bytes, large_bytes), chunked}) {
+            boost::beast::tcp_stream stream(site.io);
+            stream.expires_after(std::chrono::seconds{60});
+            co_await stream.async_connect(site.fronts[0]->callers(), asio::use_awaitable);
+            for (const auto& part : parts)
+                co_await asio::async_write(stream, asio::buffer(part), as_result);
+            boost::beast::flat_buffer buffer;
+            http_response response;
+            const auto [failed, size] = co_await http::async_read(stream, buffer, response, as_result);
+            CHECK(!failed);
+            CHECK(response.result_int() == 200);
+        }
+        REQUIRE(!site.fronts[0]->has_ended());
+        MESSAGE("peak " << site.fronts[0]->peak_memory_mb() << " MB");
+        CHECK(site.fronts[0]->peak_memory_mb() < small_memory_mb);
+    });
+}
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -74,6 +74,12 @@
     CHECK(values.target_report_interval == milliseconds{870});
     CHECK(values.retry_ratio == doctest::Approx(0.25));
     CHECK(values.retry_burst == doctest::Approx(56));
+    CHECK(!values.memory_mb);
+    const auto limited =
+        parse_settings(valid_settings + "[limits]\nmemory-mb = 120\nbody-timeout = 2.5s\n", "local");
+    REQUIRE(std::holds_alternative<settings>(limited));
+    CHECK(std::get<settings>(limited).memory_mb == std::size_t{120});
+    CHECK(std::get<settings>(limited).body_timeout == milliseconds{2500});
 }
 
 // Guards against bounds of an installation that are rendered in a form that the settings don't read, so that
@@ -93,6 +99,8 @@
     CHECK(values.instance == "front-a-1");
     CHECK(values.peer_address == "10.0.0.1:82");
     CHECK(values.descriptors == 4096);
+    CHECK(values.memory_mb == std::size_t{260});
+    CHECK(!values.body_timeout);
     CHECK(values.stop_grace_period == milliseconds{10'000});
     CHECK(values.configuration_apply_limit == milliseconds{3000});
     CHECK(values.max_grant_duration == milliseconds{9000});
--- a/tests/support/fake_target.cpp
+++ b/tests/support/fake_target.cpp
@@ -180,6 +180,7 @@
 {
     while (incarnation == ends_) {
         http::request_parser<http::string_body> parser;
+        parser.body_limit(boost::none);
         const auto [failed, size] =
             co_await http::async_read(caller->socket, caller->buffer, parser, as_result);
         if (failed || !co_await wait_for_link(caller))
