Reject messages with folded field lines

Cause: Beast's parser accepts obs-fold (RFC 9112, 5.2) and replaces it by a space. Nothing rejected it, in responses, trailers, interim responses or requests.

Change: message_reader, through which all messages from outside are read, looks at the bytes of a header, and of a last chunk with its trailers, that the parser has consumed. The parser takes one chunk at a time for that, so that bodies are left out. A caller gets 400, the response of a target has an unknown outcome, other readers take it for no answer, and the connection is closed.

--- a/include/teaseltally/net/message_reader.hpp
+++ b/include/teaseltally/net/message_reader.hpp
@@ -91,7 +91,8 @@
     [[nodiscard]] bool try_reserve(std::size_t bytes);
     /// Waits until there is memory for further bytes.
     [[nodiscard]] result wait_for_memory(std::size_t bytes);
-    /// Parses the bytes in the buffer.
+    /// Parses the bytes in the buffer. Folded field lines are an error: a field that is passed on would
+    /// differ from the one that was sent, and they may hide a length or a transfer coding.
     /// @returns the error, `need_more` if more bytes are needed, or nothing.
     [[nodiscard]] boost::system::error_code parse();
     /// Reads bytes from the connection unless the budget is exceeded.
--- a/src/net/message_reader.cpp
+++ b/src/net/message_reader.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <bit>
 #include <stdexcept>
+#include <string_view>
 
 namespace teaseltally {
 namespace {
@@ -19,6 +20,17 @@
 /// Interval at which a message that waits for memory makes others give way.
 constexpr milliseconds memory_check_interval{50};
 
+/// Returns whether a line begins with a blank or a tab, and so continues the field before it (obs-fold,
+/// RFC 9112, 5.2). Beast's parser joins the two.
+/// @param fields complete field lines.
+bool has_folded_line(std::string_view fields)
+{
+    for (auto end = fields.find('\n'); end != std::string_view::npos; end = fields.find('\n', end + 1))
+        if (end + 1 < fields.size() && (fields[end + 1] == ' ' || fields[end + 1] == '\t'))
+            return true;
+    return false;
+}
+
 } // namespace
 
 template <bool IsRequest>
@@ -117,8 +129,17 @@
     boost::system::error_code failed = http::error::need_more;
     if (buffer_.size() == 0)
         return failed;
+    const bool in_header = !parser_.is_header_done();
     try {
-        buffer_.consume(parser_.put(buffer_.data(), failed));
+        do {
+            const auto bytes = buffer_.data();
+            const auto used = parser_.put(bytes, failed);
+            const bool has_trailers = parser_.is_done() && parser_.chunked();
+            if ((in_header || has_trailers) &&
+                has_folded_line({static_cast<const char*>(bytes.data()), used}))
+                failed = http::error::bad_obs_fold;
+            buffer_.consume(used);
+        } while (!failed && !in_header && !parser_.is_done() && buffer_.size() > 0);
     }
     catch (const std::length_error&) {
         // A field whose name or value exceeds 64 KB.
@@ -130,6 +151,7 @@
 template <bool IsRequest>
 typename message_reader<IsRequest>::result message_reader<IsRequest>::read_header()
 {
+    // The parser then takes the header, each chunk, and the last chunk with the trailers, one at a time.
     parser_.eager(false);
     while (!parser_.is_header_done()) {
         auto failed = parse();
@@ -148,7 +170,6 @@
 template <bool IsRequest>
 typename message_reader<IsRequest>::result message_reader<IsRequest>::read_some()
 {
-    parser_.eager(true);
     const auto before = body_bytes();
     while (!parser_.is_done() && body_bytes() == before) {
         auto failed = parse();
--- a/tests/target_exchange_tests.cpp
+++ b/tests/target_exchange_tests.cpp
@@ -938,6 +938,25 @@
     }
 }
 
+// Guards against a line that becomes part of the field before it (RFC 9112, 5.2), and may hide a length.
+TEST_CASE("a request with a folded field line is refused, and nothing of its body is executed")
+{
+    const std::string head = "POST /x HTTP/1.1\r\nHost: h.example\r\ntt-request-id: q\r\n";
+    const auto chunks = head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nx: 1\r\n";
+    const auto with_length = head + "Content-Length: 2\r\n";
+    for (const std::string line : {" x: 1", "\tx: 1", " Content-Length: 99", " ", "\t"})
+        for (const auto& bytes : {head + line + "\r\nContent-Length: 0\r\n\r\n", head + line + "\r\n\r\n",
+                                  with_length + line + "\r\n\r\nab", chunks + line + "\r\n\r\n"}) {
+            CAPTURE(bytes);
+            router_fixture fixture(execution_semantics::at_most_once);
+            auto& target = fixture.add_target();
+            const auto received = exchange_bytes(fixture, bytes);
+            CHECK(received.starts_with("HTTP/1.1 400"));
+            CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+            CHECK(target.requests() == 0);
+        }
+}
+
 // Guards against trailer fields that reach the target beside the header fields of their name.
 TEST_CASE("trailer fields of a request are not passed on as header fields")
 {
