Reject identity answers whose end is not certain

An answer about the identity of a target with a transfer coding other than "chunked", or with one beside a length, confirmed that the target responds at its address, so that requests were sent there. Whoever reads such an answer otherwise, or passes it on, may take another message for it.

Cause: find_framing_error was called by each reader of messages, and not by the check of identity.

Evidence: "a broken answer does not confirm the identity of a target" fails on in these two cases. In the others it held: invalid status, blank in a field name, folded line, and an end by a reset.

Change: message_reader::read_header applies the rule, as it does for statuses, and the calls of the three other places are gone.

--- a/include/teaseltally/net/message_reader.hpp
+++ b/include/teaseltally/net/message_reader.hpp
@@ -69,7 +69,8 @@
     /// arrived and an end like an orderly one.
     /// @param aborted error of the write.
     void set_aborted(boost::system::error_code aborted) { aborted_ = aborted; }
-    /// Reads the header.
+    /// Reads the header, and rejects invalid statuses and messages whose end is not certain (see
+    /// `find_framing_error`).
     /// @returns the error, or nothing once the header is complete.
     [[nodiscard]] result read_header();
     /// Reads until more of the body has arrived or the message is complete. Other bytes are no progress, so
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -193,8 +193,6 @@
     caller.stream.expires_after(limits().header_timeout);
     if (const auto header_ec = co_await reader.read_header())
         co_return header_ec;
-    if (find_framing_error(parser.get(), parser.get().version()))
-        co_return http::error::bad_transfer_encoding;
     if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !parser.is_done()) {
         http::response<http::empty_body> continue_response{http::status::continue_, 11};
         const auto [write_ec, written] =
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -149,8 +149,6 @@
     message_reader<false> reader(stream, buffer, parser, budget, memory, memory_purpose::reading_responses);
     if (const auto ec = co_await reader.read_header())
         co_return ec;
-    if (find_framing_error(parser.get(), parser.get().version()))
-        co_return http::error::bad_transfer_encoding;
     trailer_filter filter(parser);
     while (!parser.is_done()) {
         if (limits.max_pause.count() > 0)
@@ -358,8 +356,6 @@
     stream.expires_after(limits.read_timeout);
     if (const auto ec = co_await reader.read_header())
         co_return ec;
-    if (find_framing_error(parser.get(), parser.get().version()))
-        co_return http::error::bad_transfer_encoding;
     if (parser.is_done())
         co_return error_code{};
     trailer_filter filter(parser);
--- a/src/net/message_reader.cpp
+++ b/src/net/message_reader.cpp
@@ -163,6 +163,8 @@
     if constexpr (!IsRequest)
         if (!is_response_status(parser_.get().result_int()))
             co_return http::error::bad_status;
+    if (find_framing_error(parser_.get(), parser_.get().version()))
+        co_return http::error::bad_transfer_encoding;
     header_bytes_ = budget_.read_bytes() - std::min(budget_.read_bytes(), buffer_.size());
     co_return boost::system::error_code{};
 }
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -132,8 +132,6 @@
         received_bytes_ = received_bytes_ || budget.read_bytes() > 0;
         if (header_failed)
             co_return header_failed;
-        if (find_framing_error(parser.get(), parser.get().version()))
-            co_return http::error::bad_transfer_encoding;
         trailer_filter filter(parser);
         if (const auto failed = co_await reader.read_rest())
             co_return failed;
--- a/tests/message_reader_tests.cpp
+++ b/tests/message_reader_tests.cpp
@@ -2,6 +2,7 @@
 #include "support/run.hpp"
 
 #include <teaseltally/net/http.hpp>
+#include <teaseltally/net/message_framing.hpp>
 #include <teaseltally/net/message_reader.hpp>
 #include <teaseltally/net/rejection_log.hpp>
 
@@ -75,6 +76,56 @@
     return lines.find("\r\n ") != std::string_view::npos || lines.find("\r\n\t") != std::string_view::npos;
 }
 
+/// What Beast's parser reads from a text at once.
+struct whole_message {
+    bool is_done = false;
+    std::string body;
+    std::size_t bytes = 0;
+    std::size_t header_bytes = 0;
+    /// Error with which a reader must reject a complete message although the parser accepts it.
+    boost::system::error_code rejection;
+};
+
+whole_message parse_whole(const std::string& text)
+{
+    http::request_parser<http::string_body> parser;
+    const auto limit = framing_budget(max_header_bytes).max_buffer_bytes();
+    // Beast's limit does not count the part of a header that it has parsed before, so that a header is let
+    // through or not depending on how it arrives; the budget bounds it.
+    parser.header_limit(static_cast<std::uint32_t>(limit));
+    parser.body_limit(max_body_bytes);
+    parser.eager(true);
+    const char* last_chunk = nullptr;
+    auto on_chunk = [&](std::uint64_t size, boost::beast::string_view extensions,
+                        boost::system::error_code&) {
+        if (size == 0)
+            last_chunk = extensions.data();
+    };
+    parser.on_chunk_header(on_chunk);
+    whole_message whole;
+    boost::system::error_code failed;
+    try {
+        whole.bytes = parser.put(asio::buffer(text), failed);
+    }
+    catch (const std::length_error&) {
+        // Without a budget, a field may be longer than the parser can store.
+        REQUIRE(text.size() > limit);
+    }
+    whole.is_done = parser.is_done();
+    whole.body = parser.get().body();
+    whole.header_bytes = text.find("\r\n\r\n") + 4;
+    if (!whole.is_done)
+        return whole;
+    const bool folded_header = has_folded_line({text.data(), whole.header_bytes});
+    const bool folded_trailers =
+        last_chunk != nullptr && has_folded_line({last_chunk, text.data() + whole.bytes});
+    if (!folded_header && find_framing_error(parser.get(), parser.get().version()))
+        whole.rejection = http::error::bad_transfer_encoding;
+    else if (folded_header || folded_trailers)
+        whole.rejection = http::error::bad_obs_fold;
+    return whole;
+}
+
 /// Returns a chunked request whose framing is cut and repeated at random.
 std::string random_text(std::mt19937_64& random)
 {
@@ -129,38 +180,12 @@
     const framing_budget limits(max_header_bytes);
     unsigned complete = 0;
     unsigned exceeded = 0;
-    unsigned folded_messages = 0;
+    unsigned folded = 0;
+    unsigned ambiguous = 0;
     for (unsigned seed = 1; seed <= seeds; ++seed) {
         std::mt19937_64 random(seed);
         const auto text = random_text(random);
-        http::request_parser<http::string_body> whole;
-        // Beast's limit does not count the part of a header that it has parsed before, so that a header is
-        // let through or not depending on how it arrives; the budget bounds it.
-        whole.header_limit(static_cast<std::uint32_t>(limits.max_buffer_bytes()));
-        whole.body_limit(max_body_bytes);
-        whole.eager(true);
-        const char* last_chunk = nullptr;
-        auto on_chunk = [&](std::uint64_t size, boost::beast::string_view extensions,
-                            boost::system::error_code&) {
-            if (size == 0)
-                last_chunk = extensions.data();
-        };
-        whole.on_chunk_header(on_chunk);
-        boost::system::error_code failed;
-        std::size_t message_bytes = 0;
-        try {
-            message_bytes = whole.put(asio::buffer(text), failed);
-        }
-        catch (const std::length_error&) {
-            // Without a budget, a field may be longer than the parser can store.
-            REQUIRE(text.size() > limits.max_buffer_bytes());
-        }
-        const auto header_end = text.find("\r\n\r\n");
-        // Beast's parser accepts folded lines, in the header and among the trailers.
-        const bool folded =
-            whole.is_done() &&
-            (has_folded_line({text.data(), header_end}) ||
-             (last_chunk != nullptr && has_folded_line({last_chunk, text.data() + message_bytes})));
+        const auto whole = parse_whole(text);
         const auto result = read_text(text);
         CAPTURE(seed);
         // A last read may exceed the budget before the check.
@@ -173,24 +198,26 @@
         }
         else if (!result.failed) {
             ++complete;
-            REQUIRE(whole.is_done());
-            REQUIRE(!folded);
-            REQUIRE(result.body == whole.get().body());
-            REQUIRE(result.read_bytes - result.left_bytes == message_bytes);
+            REQUIRE(whole.is_done);
+            REQUIRE(!whole.rejection);
+            REQUIRE(result.body == whole.body);
+            REQUIRE(result.read_bytes - result.left_bytes == whole.bytes);
         }
-        else if (whole.is_done())
-            REQUIRE((folded && result.failed == http::error::bad_obs_fold));
+        else if (whole.is_done)
+            REQUIRE(result.failed == whole.rejection);
         const bool within_limits =
-            message_bytes < framing_budget::allowance_bytes && header_end + 4 <= max_header_bytes;
-        if (whole.is_done() && within_limits)
-            REQUIRE(result.failed == (folded ? http::error::bad_obs_fold : boost::system::error_code{}));
-        folded_messages += folded ? 1 : 0;
+            whole.bytes < framing_budget::allowance_bytes && whole.header_bytes <= max_header_bytes;
+        if (whole.is_done && within_limits)
+            REQUIRE(result.failed == whole.rejection);
+        folded += whole.rejection == http::error::bad_obs_fold ? 1 : 0;
+        ambiguous += whole.rejection == http::error::bad_transfer_encoding ? 1 : 0;
     }
-    MESSAGE(seeds << " seeds: " << complete << " complete, " << exceeded << " over the budget, "
-                  << folded_messages << " with folded lines");
+    MESSAGE(seeds << " seeds: " << complete << " complete, " << exceeded << " over the budget, " << folded
+                  << " with folded lines, " << ambiguous << " without a certain end");
     CHECK(complete > 0);
     CHECK(exceeded > 0);
-    CHECK(folded_messages > 0);
+    CHECK(folded > 0);
+    CHECK(ambiguous > 0);
 }
 
 // Guards against answers of other instances, of targets and of the store that take memory, or that hold an
--- a/tests/target_exchange_tests.cpp
+++ b/tests/target_exchange_tests.cpp
@@ -468,6 +468,43 @@
     CHECK(target.requests() == 4);
 }
 
+// Guards against requests to an address because of an answer about its identity that is none.
+TEST_CASE("a broken answer does not confirm the identity of a target")
+{
+    struct identity_case {
+        const char* name;
+        std::string start;
+        std::string end;
+        bool reset = false;
+        bool confirms = false;
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string length = "Content-Length: 0\r\n\r\n";
+    const std::vector<identity_case> cases{
+        {"whole", ok, length, false, true},
+        {"to the end of the connection", ok, "\r\nhello", false, true},
+        {"to the end of the connection, reset", ok, "\r\nhello", true},
+        {"status 000", "HTTP/1.1 000 X\r\n", length},
+        {"a field name with a blank", ok, "X Odd: v\r\n" + length},
+        {"a folded field line", ok, " X-Odd: v\r\n" + length},
+        {"another transfer coding", ok, "Transfer-Encoding: gzip\r\n\r\nhello"},
+        {"a length and a transfer coding", ok, "Transfer-Encoding: gzip\r\n" + length}};
+    for (const auto& example : cases) {
+        INFO(std::string{example.name});
+        router_fixture fixture(execution_semantics::at_most_once);
+        auto& target = fixture.add_target();
+        const auto id = "i" + std::to_string(target.local_endpoint().port());
+        target.enqueue_response("HTTP/1.1 421 No\r\ntt-request-id: q\r\ntt-not-executed: 1\r\n"
+                                "tt-target-id: other\r\nContent-Length: 0\r\n\r\n");
+        CHECK(fixture.send_request("q").result_int() == 503);
+        target.enqueue_last_response(example.start + "tt-target-id: " + id + "\r\n" + example.end,
+                                     example.reset);
+        run(fixture.io, [&]() -> asio::awaitable<void> { co_await sleep_for(milliseconds{700}); });
+        CHECK(target.requests() == 2);
+        CHECK(fixture.router.unconfirmed_targets().empty() == example.confirms);
+    }
+}
+
 // Guards against retries and hedged attempts that reach a target which has asked for rest.
 TEST_CASE("neither a new request, a retry nor a hedged attempt is sent to a target that rests")
 {
