Take the final answer about a target's identity, not an interim one

An interim response (103) before the answer to a check of identity counted as an answer that names nobody, so that the target counted as responding at its address, although another process did; requests were then sent to it.

Cause: the check read one response; the two other readers of responses skip interim ones.

Evidence: the cases "an interim response alone" and "another target after an interim response" of "a broken answer does not confirm the identity of a target" fail without the change.

After: the cases pass, and "after an interim response" confirms the target.

--- a/src/net/request_identity.cpp
+++ b/src/net/request_identity.cpp
@@ -1,4 +1,5 @@
 #include <teaseltally/log_line.hpp>
+#include <teaseltally/net/message_framing.hpp>
 #include <teaseltally/net/message_reader.hpp>
 #include <teaseltally/net/request_router.hpp>
 
@@ -122,24 +123,28 @@
     configure_client_socket(stream.socket());
     if (const auto [failed, size] = co_await http::async_write(stream, request, as_result); failed)
         co_return std::nullopt;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(max_health_bytes);
-    parser.header_limit(max_health_header_bytes);
     boost::beast::flat_buffer buffer;
     framing_budget budget(max_health_header_bytes);
-    message_reader<false> reader(stream, buffer, parser, budget);
-    auto failed = co_await reader.read_header();
-    if (!failed)
-        failed = co_await reader.read_rest();
-    if (is_framing_excess(failed))
-        log_(log_line("message_rejected")
-                 .add("way", "identity")
-                 .add("sender", target->entry().id)
-                 .add("reason", describe_read_failure(failed))
-                 .text());
-    if (failed)
-        co_return std::nullopt;
-    co_return std::string{parser.get()[settings_.headers.target_id]};
+    for (int interim = 0; interim <= max_interim_responses; ++interim) {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(max_health_bytes);
+        parser.header_limit(max_health_header_bytes);
+        message_reader<false> reader(stream, buffer, parser, budget);
+        auto failed = co_await reader.read_header();
+        if (!failed)
+            failed = co_await reader.read_rest();
+        if (is_framing_excess(failed))
+            log_(log_line("message_rejected")
+                     .add("way", "identity")
+                     .add("sender", target->entry().id)
+                     .add("reason", describe_read_failure(failed))
+                     .text());
+        if (failed)
+            break;
+        if (!is_interim_status(parser.get().result_int()))
+            co_return std::string{parser.get()[settings_.headers.target_id]};
+    }
+    co_return std::nullopt;
 }
 
 void request_router::confirm(target_node& target, time_point asked_at)
--- a/tests/target_exchange_tests.cpp
+++ b/tests/target_exchange_tests.cpp
@@ -480,6 +480,7 @@
     };
     const std::string ok = "HTTP/1.1 200 OK\r\n";
     const std::string length = "Content-Length: 0\r\n\r\n";
+    const std::string early = "HTTP/1.1 103 Early\r\n\r\n";
     const std::vector<identity_case> cases{
         {"whole", ok, length, false, true},
         {"to the end of the connection", ok, "\r\nhello", false, true},
@@ -488,7 +489,10 @@
         {"a field name with a blank", ok, "X Odd: v\r\n" + length},
         {"a folded field line", ok, " X-Odd: v\r\n" + length},
         {"another transfer coding", ok, "Transfer-Encoding: gzip\r\n\r\nhello"},
-        {"a length and a transfer coding", ok, "Transfer-Encoding: gzip\r\n" + length}};
+        {"a length and a transfer coding", ok, "Transfer-Encoding: gzip\r\n" + length},
+        {"after an interim response", early + ok, length, false, true},
+        {"an interim response alone", early, ""},
+        {"another target after an interim response", early + ok + "tt-target-id: other\r\n", length}};
     for (const auto& example : cases) {
         INFO(std::string{example.name});
         router_fixture fixture(execution_semantics::at_most_once);
