--- a/review/world-2.hpp
+++ b/review/world-2.hpp
@@ -42,6 +42,8 @@
 using request_message = http::request<http::string_body>;
 using response_message = http::response<http::string_body>;
 
+/// Interval of the upstreams' reports.
+constexpr auto heartbeat = 1500ms;
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
 /// Exit codes of a case.
@@ -341,6 +343,23 @@
         write_state("ready");
         record_.line("upstream", id_, "starts, life", life_);
     }
+    /// Sets the address of the next lives.
+    void set_address(const tcp::endpoint& endpoint) { endpoint_ = endpoint; }
+    /// Ends the process as a crash does: its connections are reset, and it says nothing to the store, which
+    /// removes the registration after three heartbeats.
+    void crash()
+    {
+        record_.line("upstream", id_, "crashes, life", life_);
+        end_holds(0, 65'535);
+        beast::error_code ignored;
+        acceptor_->close(ignored);
+        for (const auto& socket : std::exchange(sockets_, {})) {
+            socket->set_option(asio::socket_base::linger(true, 0), ignored);
+            socket->close(ignored);
+        }
+        running_life_ = 0;
+        asio::co_spawn(io_, expire(life_), asio::detached);
+    }
     void report_draining()
     {
         write_state("draining");
@@ -375,6 +394,12 @@
         store_.put("keyed.servers", id_, json_text(entry));
         running_life_ = life_;
     }
+    asio::awaitable<void> expire(unsigned life)
+    {
+        co_await sleep_for(3 * heartbeat);
+        if (life == life_)
+            store_.put("keyed.servers", id_, "");
+    }
     void end_holds(unsigned first, unsigned last)
     {
         const auto now = clock::now();
@@ -411,6 +436,9 @@
             if (const auto [failed, size] = co_await http::async_read(*socket, buffer, parser, as_result);
                 failed)
                 break;
+            // What arrives at a process that has ended has no effect.
+            if (life != running_life_)
+                break;
             auto response = co_await answer(parser.release());
             if (life != running_life_)
                 break;
