--- a/review/world-2.hpp
+++ b/review/world-2.hpp
@@ -360,6 +360,9 @@
         running_life_ = 0;
         asio::co_spawn(io_, expire(life_), asio::detached);
     }
+    /// Writes its entry again, as with the next report after another writer has changed the entry.
+    void report() { write_state("ready"); }
+    [[nodiscard]] std::string address() const { return text_of(endpoint_); }
     void report_draining()
     {
         write_state("draining");
