Send the grants of a coordinator that may have a successor only to processes from before

Callers: two targets ran requests on the same keys for up to 9.2 s (OWNER). One of them had been told to release the keys by the next coordinator and had started again under its id; the store served the former coordinator no more, and it went on granting.

Cause: a coordinator may grant for 10.5 s after its last append, and another instance takes over after 2.5 s. In between, the fencing tokens that a target remembers protect the keys that the successor has moved. A restarted target remembers none, and a grant names only the target's id, which it keeps: no platform call says when a process started, neither the order's response nor the health check.

Change: a connection leads to one process. From the moment at which another instance may have claimed the role, grants are written only over connections that the target accepted before; the check is made immediately before the write, so that it covers orders in a queue, connects under way, a process that was stopped, a term that has ended and a role that was handed over. The successor's release or grant then came to the same process, which refuses older tokens. Grants that have no such connection are withheld: they don't count as failures of the target and are due again when the log confirms the coordinator. While the role is contested a target gets one grant at a time, so that one open connection is enough.

"grants that lapse first are renewed first" let 3 s pass without a record and expected four grants at once; the coordinator is contested then. It now lets the renewal interval pass after a record, with the same expectations.

--- a/include/teaseltally/net/http.hpp
+++ b/include/teaseltally/net/http.hpp
@@ -45,6 +45,8 @@
     std::string message;
     /// Whether the host of the server refused the connection.
     bool refused = false;
+    /// Whether the request was not sent because `connection_use::may_send_over` allowed no connection.
+    bool withheld = false;
 };
 
 /// Complete response, or the failure that prevented it.
@@ -93,13 +95,17 @@
 };
 
 /// Which connection an exchange uses, and whether later ones may use it. Restricts what a copy of an earlier
-/// response may say where it is taken for the response to a request.
+/// response may say where it is taken for the response to a request, and to which process a request may go.
 struct connection_use {
     /// Whether the exchange opens a connection of its own.
     bool new_connection = false;
     /// Returns whether the connection may be used again after a complete response. An empty function allows
     /// it.
     std::function<bool(const http_response&)> may_reuse_after;
+    /// Returns whether the request may be sent over a connection that the server had accepted by the given
+    /// time. It is called before a connection is chosen and again immediately before the write. An empty
+    /// function allows it.
+    std::function<bool(time_point)> may_send_over;
 };
 
 /// Time after which a request that was refused for lack of memory may be sent again: unfinished messages have
@@ -164,8 +170,13 @@
 
 private:
     class pooled_connection;
+    struct idle_connection {
+        std::unique_ptr<boost::beast::tcp_stream> stream;
+        /// Time by which the server had accepted the connection.
+        time_point accepted_by;
+    };
     struct endpoint_pool {
-        std::vector<std::unique_ptr<boost::beast::tcp_stream>> idle;
+        std::vector<idle_connection> idle;
         std::size_t open_connections = 0;
     };
 
--- a/include/teaseltally/ownership/assignment.hpp
+++ b/include/teaseltally/ownership/assignment.hpp
@@ -205,6 +205,9 @@
     bool assignments_rewritten = true;
     /// A coordinator renews no grants whose end it has recorded.
     bool renewals_suspended = true;
+    /// A coordinator that another may have succeeded sends grants only to processes of targets that have run
+    /// since before that.
+    bool contested_grants_bound = true;
 };
 
 /// Record with which an instance claims the role of coordinator of key ownership.
--- a/include/teaseltally/ownership/order_status.hpp
+++ b/include/teaseltally/ownership/order_status.hpp
@@ -19,6 +19,8 @@
     unknown,
     /// The order was not sent: the host of the target refused the connection.
     refused,
+    /// The order was not sent: no connection was left that surely leads to the process that the order is for.
+    withheld,
 };
 
 } // namespace teaseltally
--- a/include/teaseltally/ownership/range_manager.hpp
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -38,6 +38,8 @@
     /// Time between a failed release and the next attempt. It is longer than `order_retry_delay` because a
     /// target that does not respond may be the former owner of many ranges.
     milliseconds release_retry_delay{1000};
+    /// Time between a grant that was withheld and the next attempt, if no append succeeds meanwhile.
+    milliseconds withheld_retry_delay{1000};
     /// Time for which grants must fail before a target is considered unavailable.
     milliseconds failure_timeout{1000};
     /// Time between two rebalancing rounds.
@@ -66,6 +68,9 @@
 /// together, and a release may occupy its connection for seconds, so that grants do not wait for releases.
 inline constexpr std::size_t max_grants_per_target = 4;
 inline constexpr std::size_t max_releases_per_target = 8;
+/// As `max_grants_per_target`, while another instance may have claimed the role: grants then use the
+/// connections that are open, of which there may be only one.
+inline constexpr std::size_t max_contested_grants_per_target = 1;
 
 /// Appends records to the ownership log on condition that its end is at an expected position.
 struct append_order {
@@ -190,6 +195,12 @@
     /// Handles the result of an order to a target.
     /// @param handover handover data that the target returned on release; may be empty.
     void on_order_completed(time_point now, std::uint64_t id, order_status status, std::string handover);
+    /// Returns whether a pending grant may be sent over a connection. A target's memory of fencing tokens,
+    /// which protects keys from a coordinator unaware of its successor, ends with the target's process. The
+    /// grant must therefore reach a process that ran before there can have been a successor.
+    /// @param id id of the grant.
+    /// @param accepted_by time by which the target had accepted the connection.
+    [[nodiscard]] bool may_send_grant(time_point now, std::uint64_t id, time_point accepted_by) const;
     /// Returns the orders that waited for the completion of others to the same target; none if there are none
     /// or before the next call of `on_order_completed`.
     /// @param now time, not before that of the previous call.
@@ -212,6 +223,9 @@
     [[nodiscard]] bool is_coordinator() const noexcept { return is_coordinator_; }
     /// Returns the time until which this instance has the authority to send grants.
     [[nodiscard]] time_point authority_until() const noexcept { return authority_until_; }
+    /// Returns the time until which no other instance can have claimed the role since this one did; the epoch
+    /// if this instance does not coordinate.
+    [[nodiscard]] time_point uncontested_until() const noexcept { return uncontested_until_; }
     /// Returns the latest era of the store that this instance has noticed, or nothing before its first read.
     [[nodiscard]] std::optional<std::uint64_t> noticed_era() const noexcept { return noticed_era_; }
     /// Returns whether this instance kept its term when it noticed the latest era of the store.
@@ -267,6 +281,8 @@
         time_point next_grant_at{};
         /// Time of the first failed grant since the last successful one.
         std::optional<time_point> failing_since;
+        /// Whether the last grant was withheld.
+        bool withheld = false;
         bool owner_terminated = false;
         /// Whether the owner has seen a higher fencing token, so that the range needs a new one.
         bool fence_conflict = false;
@@ -291,6 +307,8 @@
     struct pending_grant {
         std::string target;
         key_range keys;
+        /// Fencing token of the term in which the order was given.
+        std::uint64_t term_fence = 0;
     };
     /// Registration of the targets of a service that has no assignment yet.
     struct registration_progress {
@@ -322,7 +340,7 @@
     [[nodiscard]] std::uint64_t fence_at(log_position position, std::int64_t origin) const;
     void append_assignments(const ownership_log& log, append_order& order,
                             std::optional<milliseconds> former_owners_from) const;
-    void plan_handover(time_point now, const ownership_view& view, append_order& order) const;
+    void plan_handover(time_point now, const ownership_view& view, append_order& order);
     void plan_rewriting(time_point now, const ownership_log& log, append_order& order);
     void plan_assignments(time_point now, const ownership_view& view, append_order& order);
     /// Returns whether an owner has refused a fencing token that was given because of an earlier refusal.
@@ -374,6 +392,11 @@
     /// @param to_unresponsive whether targets that did not answer the last order get the next one.
     void send_orders(time_point now, bool to_unresponsive, std::vector<ownership_action>& actions);
     void send_grant(time_point now, managed_range& range, std::vector<ownership_action>& actions);
+    /// Returns the end of the time in which no other instance claims the role after an append of this
+    /// coordinator, which others take as a sign of life.
+    [[nodiscard]] time_point end_of_uncontested_time(time_point append_sent) const noexcept;
+    /// Makes the grants that were withheld due.
+    void resume_withheld(time_point now);
     [[nodiscard]] bool is_grant_due(time_point now, const std::string& service,
                                     const managed_range& range) const;
     [[nodiscard]] order_count_table count_pending_orders() const;
@@ -453,6 +476,7 @@
     /// Log time at which this term began.
     milliseconds term_began_{0};
     time_point authority_until_{};
+    time_point uncontested_until_{};
     time_point first_tick_{};
     time_point last_tick_{};
     /// Session of the coordinator that the last coordinator report concerns, and the number of consecutive
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -49,6 +49,16 @@
             !sent && code == asio::error::connection_refused};
 }
 
+http_failure make_withheld_failure()
+{
+    return {false, false, "no connection may be used", false, true};
+}
+
+bool may_send_over(const connection_use& use, time_point accepted_by)
+{
+    return !use.may_send_over || use.may_send_over(accepted_by);
+}
+
 } // namespace
 
 result<tcp_endpoint> parse_endpoint(std::string_view text)
@@ -87,20 +97,25 @@
 /// Connection reserved for one exchange. Returns to the pool if it is marked reusable, and closes otherwise.
 class http_client::pooled_connection {
 public:
-    pooled_connection(http_client& client, const tcp_endpoint& endpoint, bool is_new)
+    pooled_connection(http_client& client, const tcp_endpoint& endpoint, const connection_use& use)
         : client_(client), endpoint_(endpoint), alive_(client.alive_)
     {
         auto& pool = client_.pools_[endpoint_];
-        while (!is_new && !pool.idle.empty() && !stream_) {
-            stream_ = std::move(pool.idle.back());
-            pool.idle.pop_back();
+        for (auto index = pool.idle.size(); !use.new_connection && index-- > 0 && !stream_;) {
+            if (!may_send_over(use, pool.idle[index].accepted_by))
+                continue;
+            stream_ = std::move(pool.idle[index].stream);
+            accepted_by_ = pool.idle[index].accepted_by;
+            pool.idle.erase(pool.idle.begin() + static_cast<std::ptrdiff_t>(index));
             if (is_stale(stream_->socket())) {
                 stream_.reset();
                 --pool.open_connections;
             }
         }
         connected_ = stream_ != nullptr;
-        if (!connected_ && pool.open_connections < client_.limits_.max_connections_per_endpoint) {
+        withheld_ = !connected_ && !may_send_over(use, boot_clock::now());
+        if (!connected_ && !withheld_ &&
+            pool.open_connections < client_.limits_.max_connections_per_endpoint) {
             ++pool.open_connections;
             stream_ = std::make_unique<beast::tcp_stream>(client_.executor_);
         }
@@ -112,7 +127,7 @@
             return;
         auto& pool = client_.pools_[endpoint_];
         if (reusable_)
-            pool.idle.push_back(std::move(stream_));
+            pool.idle.push_back({std::move(stream_), accepted_by_});
         else
             --pool.open_connections;
     }
@@ -124,6 +139,11 @@
 
     [[nodiscard]] beast::tcp_stream* stream() const { return stream_.get(); }
     [[nodiscard]] bool connected() const { return connected_; }
+    /// Returns whether no connection may be used.
+    [[nodiscard]] bool withheld() const { return withheld_; }
+    /// Returns the time by which the server had accepted the connection.
+    [[nodiscard]] time_point accepted_by() const { return accepted_by_; }
+    void set_connected() { accepted_by_ = boot_clock::now(); }
     void mark_reusable() { reusable_ = true; }
 
 private:
@@ -131,7 +151,9 @@
     tcp_endpoint endpoint_;
     std::shared_ptr<bool> alive_;
     std::unique_ptr<beast::tcp_stream> stream_;
+    time_point accepted_by_{};
     bool connected_ = false;
+    bool withheld_ = false;
     bool reusable_ = false;
 };
 
@@ -169,7 +191,9 @@
                                                     exchange_limits limits, write_permit permit,
                                                     connection_use use, exchange_memory memory)
 {
-    pooled_connection connection(*this, endpoint, use.new_connection);
+    pooled_connection connection(*this, endpoint, use);
+    if (connection.withheld())
+        co_return make_withheld_failure();
     auto* stream = connection.stream();
     if (stream == nullptr)
         co_return http_failure{false, false,
@@ -179,8 +203,11 @@
     if (!connection.connected()) {
         if (const auto [ec] = co_await stream->async_connect(endpoint, as_result); ec)
             co_return make_failure(false, ec);
+        connection.set_connected();
         configure_client_socket(stream->socket());
     }
+    if (!may_send_over(use, connection.accepted_by()))
+        co_return make_withheld_failure();
     if (permit && !permit())
         co_return http_failure{false, false, "write permit denied"};
     error_code write_failed;
--- a/src/ownership/range_orders.cpp
+++ b/src/ownership/range_orders.cpp
@@ -1,6 +1,7 @@
 #include <teaseltally/ownership/range_manager.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace teaseltally {
 namespace {
@@ -83,7 +84,7 @@
     range.previous_grant_expiry = range.latest_grant_expiry;
     range.latest_grant_expiry =
         std::max(range.latest_grant_expiry, now + timing_.order_timeout + max_grant_lifetime());
-    pending_grants_.emplace(range.pending_order, pending_grant{range.owner.id, range.keys});
+    pending_grants_.emplace(range.pending_order, pending_grant{range.owner.id, range.keys, term_fence_});
     actions.push_back(grant_order{range.pending_order, range.owner, range.keys, range.fence,
                                   timing_.grant_duration, range.handover});
 }
@@ -93,6 +94,8 @@
     order_freed_ = false;
     waiting_targets_.clear();
     waiting_orders_ = 0;
+    const auto max_grants =
+        now < uncontested_until_ ? max_grants_per_target : max_contested_grants_per_target;
     auto pending = count_pending_orders();
     std::vector<managed_range*> due;
     for (auto& [service, ranges] : ranges_)
@@ -108,7 +111,7 @@
     for (auto* range : due) {
         const auto& target = range->owner.id;
         auto& grants = pending[target].grants;
-        if (grants >= order_limit(target, max_grants_per_target, to_unresponsive)) {
+        if (grants >= order_limit(target, max_grants, to_unresponsive)) {
             waiting_targets_.insert(target);
             ++waiting_orders_;
             continue;
@@ -118,6 +121,23 @@
     }
 }
 
+bool range_manager::may_send_grant(time_point now, std::uint64_t id, time_point accepted_by) const
+{
+    const auto pending = pending_grants_.find(id);
+    if (!is_coordinator_ || now >= authority_until_ || pending == pending_grants_.end() ||
+        pending->second.term_fence != term_fence_)
+        return false;
+    return accepted_by < uncontested_until_ || !guards_.contested_grants_bound;
+}
+
+void range_manager::resume_withheld(time_point now)
+{
+    for (auto& [service, ranges] : ranges_)
+        for (auto& range : ranges)
+            if (std::exchange(range.withheld, false))
+                range.next_grant_at = now;
+}
+
 std::vector<ownership_action> range_manager::follow_up_orders(time_point now)
 {
     std::vector<ownership_action> actions;
@@ -130,6 +150,8 @@
 void range_manager::note_answer(const std::string& target, order_status status, bool is_release)
 {
     order_freed_ = order_freed_ || waiting_targets_.contains(target);
+    if (status == order_status::withheld)
+        return;
     if (status == order_status::done || status == order_status::conflict ||
         status == order_status::terminated)
         unresponsive_targets_.erase(target);
@@ -175,6 +197,12 @@
 {
     const auto spread = renewal_spread(range.pending_order, timing_.renewal_interval);
     range.pending_order = 0;
+    range.withheld = status == order_status::withheld;
+    if (range.withheld) {
+        range.latest_grant_expiry = range.previous_grant_expiry;
+        range.next_grant_at = now + timing_.withheld_retry_delay;
+        return;
+    }
     if (status == order_status::done)
         range.failing_since.reset();
     else if (!range.failing_since)
@@ -190,6 +218,7 @@
         break;
     case order_status::not_sent:
     case order_status::refused:
+    case order_status::withheld:
         range.latest_grant_expiry = range.previous_grant_expiry;
         break;
     case order_status::terminated:
--- a/src/ownership/range_terms.cpp
+++ b/src/ownership/range_terms.cpp
@@ -9,6 +9,10 @@
 /// reports that the process named in the claim does not coordinate.
 constexpr unsigned reports_to_take_over = 2;
 
+/// Time after the sending of a claim before which another instance cannot have received this number of
+/// reports of the claim's process, which begins its term only when it knows that the claim was appended.
+constexpr milliseconds min_time_to_reports{200};
+
 /// Interval at which the registered targets are noted.
 constexpr milliseconds target_note_interval{1000};
 
@@ -25,10 +29,8 @@
     // may be lost, but it cannot have written anything if less time has passed since this coordinator's last
     // record. The claim alone does not count: until others know that this instance coordinates, they may
     // claim the role at once. So they may when it hands the role over.
-    const auto timeout =
-        timing_.takeover_timeout - timing_.takeover_timeout / ownership_log::clock_error_divisor;
     continuous_ = is_coordinator_ && !hands_over_ && now < authority_until_ && confirmed_append_sent_ &&
-                  now - *confirmed_append_sent_ < timeout;
+                  now < end_of_uncontested_time(*confirmed_append_sent_);
     continuous_ = continuous_ || !guards_.continuity_check;
 }
 
@@ -200,11 +202,13 @@
     }
 }
 
-void range_manager::plan_handover(time_point now, const ownership_view& view, append_order& order) const
+void range_manager::plan_handover(time_point now, const ownership_view& view, append_order& order)
 {
     // A further record would delay the other instances, which wait for their jitter since the last one.
-    if (!view.log.claim()->resigned)
-        order.records.push_back({std::string{ownership_log::claim_key}, encode(make_claim(now, view.log))});
+    if (view.log.claim()->resigned)
+        return;
+    uncontested_until_ = std::min(uncontested_until_, now);
+    order.records.push_back({std::string{ownership_log::claim_key}, encode(make_claim(now, view.log))});
 }
 
 void range_manager::plan_rewriting(time_point now, const ownership_log& log, append_order& order)
@@ -220,9 +224,12 @@
     term_ = view.log.term();
     term_fence_ = fence_at(term_, view.log.next_fence_origin());
     authority_until_ = append_sent_ + timing_.authority_duration;
+    const bool begins_uncontested = now < append_sent_ + min_time_to_reports;
+    uncontested_until_ = begins_uncontested ? end_of_uncontested_time(append_sent_) : time_point{};
     confirmed_append_sent_.reset();
     term_began_ = view.log.claim()->began.value_or(view.log.claim()->log_time);
-    last_append_ = now;
+    // Otherwise the next record has to show first that no other instance has claimed the role.
+    last_append_ = begins_uncontested ? now : time_point{};
     ranges_.clear();
     unresponsive_targets_.clear();
     first_reconcile_ = true;
@@ -231,6 +238,12 @@
         sweep_.begin(earlier_grants_expire_at_, term_fence_);
 }
 
+time_point range_manager::end_of_uncontested_time(time_point append_sent) const noexcept
+{
+    return append_sent + timing_.takeover_timeout -
+           timing_.takeover_timeout / ownership_log::clock_error_divisor;
+}
+
 milliseconds range_manager::max_stale_authority() const noexcept
 {
     return timing_.authority_duration + timing_.order_timeout + max_grant_lifetime();
@@ -242,6 +255,7 @@
     sweep_.end();
     ranges_.clear();
     authority_until_ = {};
+    uncontested_until_ = {};
 }
 
 void range_manager::resign(time_point now, const ownership_view& view, std::vector<ownership_action>& actions)
@@ -265,8 +279,12 @@
         resigned_ = false;
         authority_until_ = std::max(authority_until_, append_sent_ + timing_.authority_duration);
         last_append_ = now;
-        if (is_coordinator_)
-            confirmed_append_sent_ = append_sent_;
+        if (!is_coordinator_)
+            return;
+        confirmed_append_sent_ = append_sent_;
+        if (!hands_over_)
+            uncontested_until_ = std::max(uncontested_until_, end_of_uncontested_time(append_sent_));
+        resume_withheld(now);
         return;
     }
     if (status == append_status::not_applied)
--- a/tests/ownership_schedules.cpp
+++ b/tests/ownership_schedules.cpp
@@ -13,6 +13,7 @@
 DEFINE_uint64(count, 20, "number of seeds");
 DEFINE_bool(lapses, false, "whether registrations of targets that live are removed for a while");
 DEFINE_bool(returns, true, "whether the store returns from older copies");
+DEFINE_bool(restarts, false, "whether targets drain and start again with the same ids");
 DEFINE_bool(stops, false, "whether instances hand their role over and end");
 DEFINE_int32(disable, -1, "index of the safety check to disable; -1 disables none");
 
@@ -32,7 +33,7 @@
     bool ownership_guards::*enabled;
 };
 
-constexpr std::array<safety_check, 6> safety_checks{{
+constexpr std::array<safety_check, 7> safety_checks{{
     {"fencing tokens rise with the era", &ownership_guards::era_in_fences},
     {"records are ordered by the era in which they were written", &ownership_guards::era_in_record_order},
     {"only a coordinator that no other can have succeeded keeps its term",
@@ -40,6 +41,8 @@
     {"the first coordinator of an era excludes all holders", &ownership_guards::holder_sweep},
     {"assignments are written again in a new era", &ownership_guards::assignments_rewritten},
     {"grants whose end is recorded are not renewed", &ownership_guards::renewals_suspended},
+    {"a coordinator that another may have succeeded grants keys only to known processes",
+     &ownership_guards::contested_grants_bound},
 }};
 
 /// Returns the faults of a seed; four sets of faults take turns, with and without reports on coordinators.
@@ -49,6 +52,8 @@
     faults.store_return = FLAGS_returns ? 0.06 : 0;
     faults.lapse = FLAGS_lapses ? 0.04 : 0;
     faults.stop = FLAGS_stops ? 0.05 : 0;
+    faults.restart = FLAGS_restarts ? 0.02 : 0;
+    faults.log_unreachable = FLAGS_restarts ? 0.05 : 0;
     faults.store_drill = seed % 8 < 6;
     faults.coordinator_reports = seed / 4 % 2 == 1;
     if (seed % 4 == 0)
@@ -67,7 +72,8 @@
     faults.append_delayed = 0.05;
     faults.append_answer_lost = faults.append_refused = 0.05;
     faults.order_answer_lost = faults.order_delayed = faults.order_not_sent = 0.05;
-    faults.log_unreachable = faults.links_lost = 0.02;
+    faults.log_unreachable = FLAGS_restarts ? 0.05 : 0.02;
+    faults.links_lost = 0.02;
     return faults;
 }
 
--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -268,15 +268,23 @@
         site.step(elapsed, order_status::done);
         return std::span{site.grants}.subspan(before);
     };
-    for (int count = 0; count < 100; ++count) {
+    const auto renew = [&] {
         const auto sent = step(milliseconds{100});
         for (const auto& grant : sent)
             granted_at[grant.keys.first] = site.now;
-        most = count < 50 ? 0 : std::max(most, sent.size());
+        return sent.size();
+    };
+    for (int count = 0; count < 100; ++count) {
+        const auto sent = renew();
+        most = count < 50 ? 0 : std::max(most, sent);
     }
     CHECK(most <= granted_at.size() / 2);
+    // Fewer grants are sent at once if the last record is so old that the role may have another holder.
+    const auto end = site.log.position();
+    while (site.log.position() == end)
+        renew();
     site.unanswered = {"t1"};
-    const auto sent = step(milliseconds{3000});
+    const auto sent = step(ownership_timing{}.renewal_interval);
     REQUIRE(sent.size() == max_grants_per_target);
     time_point latest{};
     for (const auto& grant : sent) {
@@ -556,6 +564,63 @@
     CHECK(site.grants.empty());
 }
 
+// Guards against two targets that hold a key (OWNER): a coordinator unaware of its successor granted keys to
+// a target that had forgotten their fencing tokens by a restart.
+TEST_CASE("a coordinator that may have a successor grants keys only over connections from before")
+{
+    single_coordinator site(2);
+    for (int step = 0; step < 50; ++step)
+        site.step(milliseconds{100}, order_status::done);
+    const auto limit = site.manager.uncontested_until();
+    CHECK(limit > site.now);
+    CHECK(limit < site.now + ownership_timing{}.takeover_timeout);
+    site.append_outcome = append_status::not_applied;
+    site.unanswered = {"t1"};
+    while (site.now <= limit)
+        site.step(milliseconds{100}, order_status::done);
+    CHECK(site.manager.uncontested_until() == limit);
+    const auto may_send = [&](std::uint64_t id, time_point accepted_by) {
+        return site.manager.may_send_grant(site.now, id, accepted_by);
+    };
+    const auto pending =
+        std::ranges::find(site.grants, "t1", [](const grant_order& grant) { return grant.target.id; })->id;
+    const auto last = site.grants.back();
+    CHECK(std::ranges::any_of(site.grants, [&](const grant_order& grant) {
+        return grant.target.id == "t1" && may_send(grant.id, limit - milliseconds{1}) &&
+               !may_send(grant.id, limit);
+    }));
+    CHECK_FALSE(may_send(pending, limit));
+    // A grant that waited for longer than its term or the coordinator's authority is not sent either.
+    site.now = site.manager.authority_until();
+    CHECK_FALSE(may_send(last.id, limit - milliseconds{1}));
+}
+
+// Guards against keys that move away from targets that live, or stay without a holder, because grants were
+// withheld while the log was out of reach.
+TEST_CASE("withheld grants say nothing of their targets and are sent once the coordinator is confirmed")
+{
+    single_coordinator site(2);
+    for (int step = 0; step < 50; ++step)
+        site.step(milliseconds{100}, order_status::done);
+    const auto owners = site.log.find("ledger")->ranges();
+    site.append_outcome = append_status::not_applied;
+    while (site.now <= site.manager.uncontested_until())
+        site.step(milliseconds{100}, order_status::done);
+    site.grants.clear();
+    for (int step = 0; step < 60; ++step)
+        site.step(milliseconds{100}, order_status::withheld);
+    // Each range is tried about once a second.
+    CHECK(site.grants.size() <= 7 * owners.size());
+    site.append_outcome = append_status::done;
+    site.grants.clear();
+    for (int step = 0; step < 3; ++step)
+        site.step(milliseconds{100}, order_status::done);
+    CHECK(site.grants.size() >= owners.size());
+    CHECK(std::ranges::equal(
+        site.log.find("ledger")->ranges(), owners, {}, [](const owned_range& range) { return range.owner; },
+        [](const owned_range& range) { return range.owner; }));
+}
+
 TEST_CASE("targets keep their keys during a 9 s outage of the log")
 {
     ownership_simulation simulation(6, {}, 3, 6);
--- a/tests/support/fake_target.cpp
+++ b/tests/support/fake_target.cpp
@@ -91,7 +91,7 @@
     entry["info"]["version"] = "v1";
     entry["info"]["zone"] = data_centre_;
     entry["info"]["slots"] = behaviour_.slots;
-    entry["status"]["state"] = "ready";
+    entry["status"]["state"] = draining_ ? "draining" : "ready";
     entry["status"]["sequence"] = sequence;
     entry["status"]["cold-remaining"] = "0ms";
     if (behaviour_.keeps_id)
@@ -99,6 +99,12 @@
     store_.put(registrations_topic, id_, json_text(entry));
 }
 
+void fake_target::report_draining()
+{
+    draining_ = true;
+    write_registration(2);
+}
+
 void fake_target::register_as(const std::string& id)
 {
     auto own = std::exchange(id_, id);
@@ -153,6 +159,7 @@
     work_.clear();
     running_ = 0;
     leaving_ = false;
+    draining_ = false;
     queue_.clear();
     asio::co_spawn(io_, restart(restarts), asio::detached);
 }
--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -163,6 +164,14 @@
     /// Writes the registration of the current incarnation.
     /// @param sequence sequence number of the registration.
     void write_registration(unsigned sequence);
+    /// Registers as draining until the incarnation ends.
+    void report_draining();
+    /// Returns whether the target holds any key.
+    [[nodiscard]] bool holds_any() const
+    {
+        return std::ranges::any_of(held_until_,
+                                   [now = boot_clock::now()](time_point until) { return until > now; });
+    }
     /// Returns the times at which requests and orders for another target arrived.
     [[nodiscard]] const std::vector<time_point>& misdirected() const noexcept { return misdirected_; }
     /// Writes a registration at this target's address under another id.
@@ -237,6 +246,7 @@
     std::vector<std::pair<time_point, std::optional<double>>> limits_;
     std::optional<std::string> retry_after_;
     bool leaving_ = false;
+    bool draining_ = false;
     bool sheds_ = false;
     std::size_t sheddable_ = 0;
     std::vector<time_point> misdirected_;
--- a/tests/support/ownership_simulation.cpp
+++ b/tests/support/ownership_simulation.cpp
@@ -31,6 +31,13 @@
     time_point links_known_lost_from{};
     /// Time until which this instance cannot reach a target, by target id.
     std::map<std::string, time_point> unreachable_targets;
+    /// Open connection to a target.
+    struct connection {
+        unsigned process = 0;
+        time_point accepted_at{};
+    };
+    /// Connections, by target id.
+    std::map<std::string, connection> connections;
 };
 
 struct ownership_simulation::simulated_target {
@@ -40,6 +47,8 @@
         time_point until;
     };
     target_incarnation incarnation;
+    /// Number of the process, which rises with each restart.
+    unsigned process = 1;
     bool alive = true;
     bool draining = false;
     /// Whether no process responds at the target's address.
@@ -188,6 +197,7 @@
 void ownership_simulation::kill(simulated_instance& instance, milliseconds duration) const
 {
     instance.manager.reset();
+    instance.connections.clear();
     instance.stopped_until = now_ + duration;
 }
 
@@ -261,6 +271,11 @@
             restart_target(*target);
         else if (target->alive && !target->draining && occurs(faults_.drain))
             start_drain(target->incarnation.id);
+        else if (faults_.restart > 0 && target->alive && !target->draining && occurs(faults_.restart)) {
+            start_drain(target->incarnation.id);
+            constexpr milliseconds drain_time{3000};
+            schedule(drain_time, [this, drained = target.get()] { restart_process(*drained); });
+        }
         else if (faults_.lapse > 0 && target->alive && !target->draining && occurs(faults_.lapse))
             lose_registration(*target);
     }
@@ -319,9 +334,40 @@
         instance->log_unreachable_until = now_ + duration;
 }
 
+void ownership_simulation::restart_process(simulated_target& target)
+{
+    target.alive = false;
+    ++target.process;
+    target.grants.clear();
+    std::ranges::fill(target.highest_fences, 0);
+    schedule(random_duration(100, 500), [this, &target] {
+        target.alive = true;
+        target.draining = false;
+        target.registered_at = now_;
+        const auto& incarnation = target.incarnation;
+        target.incarnation.start_unix_ms = target.process;
+        directory_.update(
+            {incarnation.id, service, incarnation.address, "a", 4, false, {}, incarnation.start_unix_ms, 1},
+            {0, ++directory_position_});
+    });
+}
+
+bool ownership_simulation::may_send_grant(simulated_instance& from, const grant_order& order)
+{
+    const auto* target = find(order.target.id);
+    if (target == nullptr)
+        return true;
+    auto& connection = from.connections[order.target.id];
+    if (connection.process != target->process && from.manager->may_send_grant(now_, order.id, now_))
+        connection = {target->process, now_};
+    return connection.process == target->process &&
+           from.manager->may_send_grant(now_, order.id, connection.accepted_at);
+}
+
 void ownership_simulation::restart_target(simulated_target& target)
 {
     target.alive = false;
+    ++target.process;
     target.grants.clear();
     const auto previous = target.incarnation;
     schedule(random_duration(500, 6000), [this, previous, &target] {
@@ -507,9 +553,22 @@
         });
         return;
     }
+    if (!may_send_grant(from, order)) {
+        schedule(network_delay, [this, &from, session, order] {
+            complete_order(from, session, order.id, order_status::withheld, {});
+        });
+        return;
+    }
     if (occurs(faults_.order_delayed)) {
         const auto arrival = now_;
-        schedule(random_duration(2000, 5000), [this, order, arrival] { apply_grant(order, arrival); });
+        const auto* target = find(order.target.id);
+        schedule(random_duration(2000, 5000),
+                 [this, order, arrival, process = target == nullptr ? 0 : target->process] {
+                     // An order that a process has received ends with it.
+                     const auto* receiver = find(order.target.id);
+                     if (receiver != nullptr && receiver->process == process)
+                         apply_grant(order, arrival);
+                 });
         schedule(milliseconds{1000}, [this, &from, session, order] {
             complete_order(from, session, order.id, order_status::unknown, {});
         });
--- a/tests/support/ownership_simulation.hpp
+++ b/tests/support/ownership_simulation.hpp
@@ -49,6 +49,9 @@
     double crash = 0;
     /// In each second, a target begins to drain.
     double drain = 0;
+    /// In each second, a target begins to drain, ends 3 s later and starts again with the same id 0.1 to 0.5
+    /// s after that.
+    double restart = 0;
     /// In each second, the registration of a target that lives is removed for 1 to 8 s.
     double lapse = 0;
     /// In each second, the store goes away for 0.3 to 2 s and comes back in the next era from a copy that is
@@ -159,6 +162,11 @@
     void inject_faults();
     void cut_links(simulated_instance& instance, milliseconds duration) const;
     void restart_target(simulated_target& target);
+    /// Ends a target's process, which starts again with the same id.
+    void restart_process(simulated_target& target);
+    /// Returns whether a grant may be sent over a connection to the target's process, which is opened if
+    /// there is none.
+    [[nodiscard]] bool may_send_grant(simulated_instance& from, const grant_order& order);
     void lose_registration(simulated_target& target);
     void check_grants();
     [[nodiscard]] bool occurs(double probability);
