Don't send a refused fencing token again

The coordinator of review/6 and review/8 sent each refused grant again every 0.3 s with the same token, for up to 9 s; a rule of the users' platform forbids orders that repeat a refused token.

Cause: complete_grant noted the refusal, is_grant_due did not look at it. Besides, a refusal counted as a failure of the target: after 1 s without an append all targets that had refused a token were left out, and with them the only way to a new token.

Evidence: the new test "a refused fencing token is not sent again while no new one can be recorded".

Change: a range whose token was refused is not granted before the log has a new one; a refusal is an answer, not a failure.

--- a/src/ownership/range_orders.cpp
+++ b/src/ownership/range_orders.cpp
@@ -66,8 +66,9 @@
 
 bool range_manager::is_grant_due(time_point now, const std::string& service, const managed_range& range) const
 {
-    if (range.owner_terminated || range.pending_order != 0 || now < range.next_grant_at ||
-        (range.suspended_at && guards_.renewals_suspended))
+    // A process that has refused a fencing token refuses it for good; only another one would take it.
+    if (range.owner_terminated || range.fence_conflict || range.pending_order != 0 ||
+        now < range.next_grant_at || (range.suspended_at && guards_.renewals_suspended))
         return false;
     const bool former_grants_ended = std::ranges::all_of(range.former_grants, [&](const former_grant& grant) {
         return grant.ended || grant.expires_by < now;
@@ -203,7 +204,8 @@
         range.next_grant_at = now + timing_.withheld_retry_delay;
         return;
     }
-    if (status == order_status::done)
+    // A target that refuses a fencing token responds.
+    if (status == order_status::done || status == order_status::conflict)
         range.failing_since.reset();
     else if (!range.failing_since)
         range.failing_since = now;
--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <limits>
 
 using namespace teaseltally;
 using namespace teaseltally::test;
@@ -621,6 +622,29 @@
         [](const owned_range& range) { return range.owner; }));
 }
 
+// Guards against a refused fencing token that is sent again until a restarted target takes it.
+TEST_CASE("a refused fencing token is not sent again while no new one can be recorded")
+{
+    single_coordinator site(2);
+    for (int step = 0; step < 30; ++step)
+        site.step(milliseconds{100}, order_status::done);
+    site.append_outcome = append_status::not_applied;
+    site.lowest_fence = std::numeric_limits<std::uint64_t>::max();
+    site.grants.clear();
+    for (int step = 0; step < 50; ++step)
+        site.step(milliseconds{100}, order_status::done);
+    CHECK(site.grants.size() == site.log.find("ledger")->ranges().size());
+    // A new token is given as soon as it can be recorded.
+    site.lowest_fence = site.log.position().offset;
+    site.append_outcome = append_status::done;
+    site.grants.clear();
+    for (int step = 0; step < 3; ++step)
+        site.step(milliseconds{100}, order_status::done);
+    CHECK(site.grants.size() >= site.log.find("ledger")->ranges().size());
+    CHECK(std::ranges::all_of(site.grants,
+                              [&](const grant_order& grant) { return grant.fence >= site.lowest_fence; }));
+}
+
 TEST_CASE("targets keep their keys during a 9 s outage of the log")
 {
     ownership_simulation simulation(6, {}, 3, 6);
