Deliver a response without a length only if its target has received the whole request

Cause: such a close sends a FIN, and a reset only when further bytes arrive. A write that failed with a broken pipe was taken for an orderly end, and a write that had ended in the kernel said nothing of the bytes on the way.

Change: every failed write makes the end of the connection an error, and without one the exchange waits until the target has acknowledged the whole request or the connection fails, at most 1 s without progress. Then an end without either is unknown, as after a reset.

--- a/include/teaseltally/net/message_reader.hpp
+++ b/include/teaseltally/net/message_reader.hpp
@@ -69,6 +69,8 @@
     /// arrived and an end like an orderly one.
     /// @param aborted error of the write.
     void set_aborted(boost::system::error_code aborted) { aborted_ = aborted; }
+    /// Returns whether the message is complete only because its connection has ended.
+    [[nodiscard]] bool ended_with_connection() const noexcept { return ended_with_connection_; }
     /// Reads the header, and rejects invalid statuses and messages whose end is not certain (see
     /// `find_framing_error`).
     /// @returns the error, or nothing once the header is complete.
@@ -105,6 +107,7 @@
     parser_type& parser_;
     framing_budget& budget_;
     boost::system::error_code aborted_;
+    bool ended_with_connection_ = false;
     std::size_t header_bytes_ = 0;
     message_hold hold_;
     /// Set while the message waits for memory.
--- a/src/net/message_reader.cpp
+++ b/src/net/message_reader.cpp
@@ -120,6 +120,7 @@
         co_return http::error::end_of_stream;
     boost::system::error_code incomplete;
     parser_.put_eof(incomplete);
+    ended_with_connection_ = !incomplete;
     co_return incomplete;
 }
 
--- a/src/net/target_node.cpp
+++ b/src/net/target_node.cpp
@@ -1,5 +1,6 @@
 #include <teaseltally/net/message_framing.hpp>
 #include <teaseltally/net/message_reader.hpp>
+#include <teaseltally/net/socket_state.hpp>
 #include <teaseltally/net/statement_reader.hpp>
 #include <teaseltally/net/target_node.hpp>
 
@@ -8,6 +9,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <sys/socket.h>
+#include <utility>
 
 namespace teaseltally {
 namespace {
@@ -26,6 +28,9 @@
 constexpr milliseconds connect_timeout{400};
 /// Time limit for reading a response that the target sent before the write of the request failed.
 constexpr milliseconds early_response_timeout{100};
+/// Maximum time in which a target that has ended its side of a connection acknowledges no byte of a request.
+constexpr milliseconds max_acknowledgement_pause{1000};
+constexpr milliseconds acknowledgement_check_interval{5};
 /// Maximum size of a response body.
 constexpr std::size_t max_response_bytes = 16U << 20U;
 /// Maximum number of responses to other requests that one exchange skips; after one more, it fails.
@@ -66,14 +71,37 @@
     return lost ? connection_failure::lost : connection_failure::none;
 }
 
+/// Waits until a target has received the whole request after it has ended its side of the connection. A
+/// target that closes a connection before it has read the request sends the same end as one that reads on,
+/// and a reset only when further bytes of the request arrive.
+/// @returns the error, or nothing if the target has received the whole request.
+asio::awaitable<error_code> confirm_request_received(asio::ip::tcp::socket& socket, time_point deadline)
+{
+    std::optional<std::size_t> known;
+    auto give_up_at = deadline;
+    for (auto bytes = unacknowledged_bytes(socket); bytes != 0U; bytes = unacknowledged_bytes(socket)) {
+        if (!bytes)
+            co_return asio::error::connection_reset;
+        const auto now = boot_clock::now();
+        if (std::exchange(known, bytes) != bytes)
+            give_up_at = std::min(deadline, now + max_acknowledgement_pause);
+        if (now >= give_up_at)
+            co_return beast::error::timeout;
+        co_await sleep_for(acknowledgement_check_interval);
+    }
+    co_return error_code{};
+}
+
 /// Reads responses until one belongs to the request, or too many belong to other requests.
 class response_reader {
 public:
-    /// @param aborted error with which writing the request ended if the connection was aborted.
+    /// @param deadline time by which the response must be complete.
+    /// @param aborted error with which writing the request ended.
     response_reader(target_connection& connection, const target_request& request, const header_names& headers,
-                    message_memory& memory, error_code aborted)
+                    message_memory& memory, time_point deadline, error_code aborted)
         : connection_(connection), request_id_(request[headers.request_id]), headers_(headers),
-          memory_(memory), is_head_request_(request.method() == http::verb::head), aborted_(aborted)
+          memory_(memory), is_head_request_(request.method() == http::verb::head), deadline_(deadline),
+          aborted_(aborted)
     {
     }
 
@@ -135,6 +163,9 @@
         trailer_filter filter(parser);
         if (const auto failed = co_await reader.read_rest())
             co_return failed;
+        if (reader.ended_with_connection())
+            if (const auto failed = co_await confirm_request_received(connection_.stream.socket(), deadline_))
+                co_return failed;
         filter.remove_trailers();
         shrink_large_buffer(connection_.buffer);
         held = reader.release_memory();
@@ -169,6 +200,7 @@
     const header_names& headers_;
     message_memory& memory_;
     bool is_head_request_;
+    time_point deadline_;
     error_code aborted_;
     bool received_bytes_ = false;
     bool reusable_ = false;
@@ -283,9 +315,7 @@
     const auto [write_failed, written] = co_await http::async_write(stream, serializer, as_result);
     if (write_failed)
         stream.expires_after(early_response_timeout);
-    // A broken pipe means that the target had ended its side of the connection in order before it closed it.
-    const auto aborted = write_failed == asio::error::broken_pipe ? error_code{} : write_failed;
-    response_reader reader(*connection, *request, headers, memory, aborted);
+    response_reader reader(*connection, *request, headers, memory, deadline, write_failed);
     co_await reader.read(result);
     if (reader.reusable() && !write_failed) {
         stream.expires_never();
--- a/tests/early_response_tests.cpp
+++ b/tests/early_response_tests.cpp
@@ -42,13 +42,13 @@
 }
 
 /// Uploads to a target that responds early.
-exchange_result upload_to(const early_response& response, http::verb method)
+exchange_result upload_to(const early_response& response, http::verb method, std::size_t bytes = upload_bytes)
 {
     asio::io_context io(1);
     asio::ip::tcp::acceptor acceptor(io, any_port);
     const auto node = std::make_shared<target_node>(io.get_executor(), target_entry{},
                                                     acceptor.local_endpoint(), microseconds{1000});
-    const std::string upload(upload_bytes, 'u');
+    const std::string upload(bytes, 'u');
     auto request = std::make_shared<target_request>(method, "/", 11);
     request->body() = {upload.data(), upload.size()};
     request->prepare_payload();
@@ -83,6 +83,28 @@
             }
 }
 
+// Guards against the same where the target closes the connection between two reads, so that the reset follows
+// a FIN: the end counts only if the target has received the whole upload.
+TEST_CASE("a response without a length counts as answered only if its target has received the whole upload")
+{
+    const auto without_length = head.substr(head.find('\r')) + "\r\n" + body.substr(0, 9'000);
+    int cut_off = 0;
+    for (const std::size_t bytes :
+         {std::size_t{500'000}, std::size_t{2} << 20U, upload_bytes, std::size_t{30} << 20U})
+        for (const auto* version : {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK"})
+            for (int repetition = 0; repetition < 10; ++repetition) {
+                INFO(version << ", " << bytes << " bytes");
+                bool read_all = false;
+                const auto result =
+                    upload_to({version + without_length, connection_end::close_after_part, &read_all},
+                              http::verb::post, bytes);
+                cut_off += read_all ? 0 : 1;
+                CHECK((result.status == exchange_status::answered) == read_all);
+            }
+    MESSAGE(cut_off << " of 80 connections closed before the whole upload was read");
+    CHECK(cut_off > 0);
+}
+
 // Guards against whole responses without a length that are given up because the upload could not be
 // completed.
 TEST_CASE("a whole response to an upload counts as answered, however much of the upload was read")
