Let a coordinator that hands over make its first grants before it resigns

Cause: a coordinator that was told to stop within 0.1 s of the beginning of its term resigned before its first grants. From then on it may use open connections only, and it had none; all others were stopping too, so that nobody renewed the grants for 6.3 s.

Change: such a coordinator resigns when all ranges have been granted in its term, 1 s after its beginning at the latest.

--- a/include/teaseltally/ownership/range_manager.hpp
+++ b/include/teaseltally/ownership/range_manager.hpp
@@ -340,6 +340,8 @@
     [[nodiscard]] std::uint64_t fence_at(log_position position, std::int64_t origin) const;
     void append_assignments(const ownership_log& log, append_order& order,
                             std::optional<milliseconds> former_owners_from) const;
+    /// Returns whether the owner of a range has not been granted it in this term, and has not ended.
+    [[nodiscard]] bool has_ungranted_range() const;
     void plan_handover(time_point now, const ownership_view& view, append_order& order);
     void plan_rewriting(time_point now, const ownership_log& log, append_order& order);
     void plan_assignments(time_point now, const ownership_view& view, append_order& order);
@@ -477,6 +479,8 @@
     milliseconds term_began_{0};
     time_point authority_until_{};
     time_point uncontested_until_{};
+    /// Time at which this term began.
+    time_point began_at_{};
     time_point first_tick_{};
     time_point last_tick_{};
     /// Session of the coordinator that the last coordinator report concerns, and the number of consecutive
--- a/src/ownership/range_terms.cpp
+++ b/src/ownership/range_terms.cpp
@@ -13,6 +13,10 @@
 /// reports of the claim's process, which begins its term only when it knows that the claim was appended.
 constexpr milliseconds min_time_to_reports{200};
 
+/// Time from the beginning of a term for which a coordinator that hands over waits for its first grants. It
+/// needs open connections to the targets to renew them if no other instance can take over.
+constexpr milliseconds max_handover_delay{1000};
+
 /// Interval at which the registered targets are noted.
 constexpr milliseconds target_note_interval{1000};
 
@@ -202,10 +206,19 @@
     }
 }
 
+bool range_manager::has_ungranted_range() const
+{
+    return std::ranges::any_of(ranges_, [](const auto& service) {
+        return std::ranges::any_of(service.second, [](const managed_range& range) {
+            return range.confirmed_until == time_point{} && !range.owner_terminated;
+        });
+    });
+}
+
 void range_manager::plan_handover(time_point now, const ownership_view& view, append_order& order)
 {
     // A further record would delay the other instances, which wait for their jitter since the last one.
-    if (view.log.claim()->resigned)
+    if (view.log.claim()->resigned || (now < began_at_ + max_handover_delay && has_ungranted_range()))
         return;
     uncontested_until_ = std::min(uncontested_until_, now);
     order.records.push_back({std::string{ownership_log::claim_key}, encode(make_claim(now, view.log))});
@@ -230,6 +243,7 @@
     term_began_ = view.log.claim()->began.value_or(view.log.claim()->log_time);
     // Otherwise the next record has to show first that no other instance has claimed the role.
     last_append_ = begins_uncontested ? now : time_point{};
+    began_at_ = now;
     ranges_.clear();
     unresponsive_targets_.clear();
     first_reconcile_ = true;
