Show without timing that a coordinator grants before it hands over

The new case fails if the first grants are not waited for (the claim is resigned in the first tick of the term) and passes with it. No product code changes.

--- a/tests/range_manager_tests.cpp
+++ b/tests/range_manager_tests.cpp
@@ -565,6 +565,25 @@
     CHECK(site.grants.empty());
 }
 
+// Guards against a coordinator that hands over before its first grants and has no connection to renew them.
+TEST_CASE("a coordinator that hands over as its term begins resigns only after its first grants")
+{
+    single_coordinator site(2);
+    for (int step = 0; step < 30; ++step)
+        site.step(milliseconds{100}, order_status::done);
+    site.manager = range_manager({"n2", 2, "10.1.0.2:1"}, {}, milliseconds{0});
+    for (int step = 0; step < 40 && !site.manager.is_coordinator(); ++step)
+        site.step(milliseconds{100}, order_status::done);
+    REQUIRE(site.manager.is_coordinator());
+    site.manager.hand_over();
+    site.grants.clear();
+    site.step(milliseconds{100}, order_status::done);
+    CHECK(site.grants.size() == site.log.find("ledger")->ranges().size());
+    CHECK_FALSE(site.log.claim()->resigned);
+    site.step(milliseconds{100}, order_status::done);
+    CHECK(site.log.claim()->resigned);
+}
+
 // Guards against two targets that hold a key (OWNER): a coordinator unaware of its successor granted keys to
 // a target that had forgotten their fencing tokens by a restart.
 TEST_CASE("a coordinator that may have a successor grants keys only over connections from before")
